bergamotway: add the whole path as separate processes

Cause: nothing can be measured before a request is served from one end to the other. Change: stand-ins of the platform, the entry-host daemon with its filter chain, the operators' client and a demo that starts two entry hosts, two engines, a store host and a plain service.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# The module and its programs; each is a Go module of its own.
+MODULES := . programs/bergamotctl programs/bergamotway programs/load programs/standin
+PROGRAMS := bergamotctl bergamotway load standin
+BIN := $(CURDIR)/.bin
+LINT_VERSION := v2.15.0
+LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
+SEED ?= 1
+export GOFLAGS := -buildvcs=false
+
+.PHONY: all format build demo test lint bench bench-path bench-routing bench-control clean
+
+all: build
+
+build:
+	@for p in $(PROGRAMS); do (cd programs/$$p && go build -o $(BIN)/$$p .) || exit 1; done
+
+demo: build
+	$(BIN)/load demo --bin $(BIN)
+
+test: build
+	@for m in $(MODULES); do (cd $$m && go test -race -timeout 280s $(if $(SKIP),-skip '$(SKIP)') ./...) || exit 1; done
+
+lint: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(LINT) run ./...) || exit 1; done
+
+format: $(LINT)
+	@for m in $(MODULES); do (cd $$m && $(LINT) fmt ./...) || exit 1; done
+
+# The linter is built from the module proxy at a pinned version, which the checksum database covers.
+$(LINT):
+	@mkdir -p $(BIN)/lint
+	GOWORK=off GOBIN=$(BIN)/lint go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
+	@mv $(BIN)/lint/golangci-lint $(LINT)
+
+bench: bench-path bench-routing bench-control
+
+bench-path: build
+	$(BIN)/load path --bin $(BIN)
+
+bench-routing: build
+	$(BIN)/load routing --seed $(SEED)
+
+bench-control: build
+	$(BIN)/load control
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,21 @@
+// Package clock gives the time to the parts that need it, so that tests can replace it.
+package clock
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Clock tells the time and waits. Implementations are safe for concurrent use.
+type Clock interface {
+	// Now returns the current time with its monotonic reading.
+	Now() time.Time
+	// After returns a channel that receives the time once d has passed.
+	After(d time.Duration) <-chan time.Time
+}
+
+// System returns the clock of the operating system.
+func System() Clock {
+	return clockwork.NewRealClock()
+}
--- /dev/null
+++ b/internal/configuration/snapshot.go
@@ -0,0 +1,193 @@
+package configuration
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"slices"
+	"time"
+
+	"github.com/bergamotway/bergamotway/internal/settings"
+)
+
+// Snapshot is one revision of the configuration. It is immutable and safe for concurrent use.
+// The zero value is revision zero, with which a host is not ready.
+type Snapshot struct {
+	revision   uint64
+	author     string
+	doc        Document
+	classes    map[string]Class
+	models     map[string]Model
+	zones      map[string]Zone
+	services   map[string]Service
+	teams      map[string]Team
+	teamTokens map[string]string
+	byModel    map[string][]Endpoint
+	endpoints  map[string]Endpoint
+	leaving    map[string]bool
+}
+
+const defaultColdTime = settings.Duration(30 * time.Second)
+
+// NewSnapshot indexes a document. Missing numbers get their defaults.
+func NewSnapshot(revision uint64, author string, doc Document) *Snapshot {
+	sn := &Snapshot{
+		revision:   revision,
+		author:     author,
+		doc:        doc,
+		classes:    make(map[string]Class, len(doc.Classes)),
+		models:     make(map[string]Model, len(doc.Models)),
+		zones:      make(map[string]Zone, len(doc.Zones)),
+		services:   make(map[string]Service, len(doc.Services)),
+		teams:      make(map[string]Team, len(doc.Teams)),
+		teamTokens: make(map[string]string, len(doc.Teams)),
+		byModel:    make(map[string][]Endpoint, len(doc.Models)),
+		endpoints:  make(map[string]Endpoint, len(doc.Endpoints)),
+		leaving:    make(map[string]bool),
+	}
+	for _, c := range doc.Classes {
+		sn.classes[c.Name] = c.withDefaults()
+	}
+	for _, m := range doc.Models {
+		sn.models[m.Name] = m.withDefaults()
+	}
+	for _, z := range doc.Zones {
+		sn.zones[z.Name] = z
+	}
+	for _, s := range doc.Services {
+		sn.services[s.Name] = s
+	}
+	for _, e := range doc.Endpoints {
+		sn.byModel[e.Model] = append(sn.byModel[e.Model], e)
+		sn.endpoints[e.Name] = e
+	}
+	for _, h := range doc.Hosts {
+		sn.leaving[h.Name] = h.Leaving
+	}
+	sn.indexTeams()
+	return sn
+}
+
+func (sn *Snapshot) indexTeams() {
+	for _, t := range sn.doc.Teams {
+		if t.Weight == 0 {
+			t.Weight = 1
+		}
+		sn.teams[t.Name] = t
+		for _, th := range t.TokenHashes {
+			sn.teamTokens[th] = t.Name
+		}
+	}
+}
+
+func (c Class) withDefaults() Class {
+	if c.QueueLimit == 0 {
+		c.QueueLimit = defaultQueueLimit
+	}
+	if c.RetryShare == 0 {
+		c.RetryShare = defaultRetryShare
+	}
+	return c
+}
+
+func (m Model) withDefaults() Model {
+	if m.Window == 0 {
+		m.Window = defaultWindow
+	}
+	if m.ColdLimit == 0 {
+		m.ColdLimit = defaultColdLimit
+	}
+	if m.ColdTime == 0 {
+		m.ColdTime = defaultColdTime
+	}
+	if m.PrefillRate == 0 {
+		m.PrefillRate = defaultPrefillRate
+	}
+	return m
+}
+
+// Revision returns the revision; zero means that no configuration has been seen.
+func (sn *Snapshot) Revision() uint64 { return sn.revision }
+
+// Author returns who made the revision.
+func (sn *Snapshot) Author() string { return sn.author }
+
+// Document returns the document. The caller must not change it.
+func (sn *Snapshot) Document() Document { return sn.doc }
+
+// Class returns the class with the given name.
+func (sn *Snapshot) Class(name string) (Class, bool) {
+	c, ok := sn.classes[name]
+	return c, ok
+}
+
+// Model returns the model with the given name.
+func (sn *Snapshot) Model(name string) (Model, bool) {
+	m, ok := sn.models[name]
+	return m, ok
+}
+
+// Zone returns the availability zone; an unknown zone counts as in.
+func (sn *Snapshot) Zone(name string) Zone { return sn.zones[name] }
+
+// Service returns the plain service with the given name.
+func (sn *Snapshot) Service(name string) (Service, bool) {
+	s, ok := sn.services[name]
+	return s, ok
+}
+
+// Team returns the team with the given name.
+func (sn *Snapshot) Team(name string) (Team, bool) {
+	t, ok := sn.teams[name]
+	return t, ok
+}
+
+// TeamOfToken returns the team of a bearer token.
+func (sn *Snapshot) TeamOfToken(token string) (Team, bool) {
+	th := HashToken(token)
+	t, ok := sn.teams[sn.teamTokens[th]]
+	if !ok {
+		return Team{}, false
+	}
+	match := slices.ContainsFunc(t.TokenHashes, func(known string) bool {
+		return subtle.ConstantTimeCompare([]byte(known), []byte(th)) == 1
+	})
+	return t, match
+}
+
+// EndpointsOf returns all endpoints of a model. The caller must not change the slice.
+func (sn *Snapshot) EndpointsOf(model string) []Endpoint { return sn.byModel[model] }
+
+// Endpoint returns the endpoint with the given name.
+func (sn *Snapshot) Endpoint(name string) (Endpoint, bool) {
+	e, ok := sn.endpoints[name]
+	return e, ok
+}
+
+// StoreHosts returns all store hosts. The caller must not change the slice.
+func (sn *Snapshot) StoreHosts() []StoreHost { return sn.doc.StoreHosts }
+
+// IsHostLeaving reports whether an operator ordered the entry host to leave.
+func (sn *Snapshot) IsHostLeaving(host string) bool { return sn.leaving[host] }
+
+// LoadLimit returns the most endpoints that load weights at a time.
+func (sn *Snapshot) LoadLimit() int {
+	if sn.doc.Fleet.LoadLimit == 0 {
+		return defaultLoadLimit
+	}
+	return sn.doc.Fleet.LoadLimit
+}
+
+// Link returns the link budget of the store host, in bytes/s.
+func (sh StoreHost) Link() float64 {
+	if sh.LinkRate == 0 {
+		return defaultLinkRate
+	}
+	return sh.LinkRate
+}
+
+// HashToken returns the form in which a bearer token is kept.
+func HashToken(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/configuration/watcher.go
@@ -0,0 +1,110 @@
+package configuration
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/platform"
+)
+
+type (
+	// WatcherOptions configures a Watcher.
+	WatcherOptions struct {
+		// IsAmongFirst reports whether this host is among the first n hosts for a name, by
+		// rendezvous hashing.
+		IsAmongFirst func(name string, n int) bool
+		// Clock is used for waiting.
+		Clock clock.Clock
+		// Failed is called for each failed call; nil is allowed.
+		Failed func(error)
+	}
+
+	// Watcher follows the configuration at the service. A few hosts hold a watch; the others hear
+	// of a change from peers and poll seldom, so that calls grow more slowly than the fleet.
+	Watcher struct {
+		keeper *Keeper
+		opts   WatcherOptions
+	}
+)
+
+const (
+	// watchingHosts is how many hosts hold a watch at a time.
+	watchingHosts = 8
+	// watchBound is the longest watch; a silent one is replaced after it.
+	watchBound = 5 * time.Second
+	// pollPeriod is the time between two polls of a host without a watch.
+	pollPeriod = 60 * time.Second
+	// retryDelay is the first delay after a failed call; it doubles up to retryDelayLimit.
+	retryDelay      = 250 * time.Millisecond
+	retryDelayLimit = 10 * time.Second
+)
+
+// NewWatcher returns a watcher that feeds keeper.
+func NewWatcher(keeper *Keeper, opts WatcherOptions) *Watcher {
+	return &Watcher{keeper: keeper, opts: opts}
+}
+
+// Run follows the configuration until ctx ends.
+func (wa *Watcher) Run(ctx context.Context) {
+	delay := retryDelay
+	for ctx.Err() == nil {
+		err := wa.step(ctx)
+		if err == nil {
+			delay = retryDelay
+			continue
+		}
+		if wa.opts.Failed != nil {
+			wa.opts.Failed(err)
+		}
+		wa.wait(ctx, jitter(delay))
+		delay = min(2*delay, retryDelayLimit)
+	}
+}
+
+func (wa *Watcher) step(ctx context.Context) error {
+	kp := wa.keeper
+	if kp.Revision() == 0 {
+		if err := kp.Pull(ctx); err != nil || kp.Revision() > 0 {
+			return err
+		}
+		wa.wait(ctx, jitter(retryDelay))
+		return nil
+	}
+	if !wa.opts.IsAmongFirst("configuration", watchingHosts) {
+		wa.wait(ctx, jitter(pollPeriod))
+		return kp.Pull(ctx)
+	}
+	return wa.watchOnce(ctx)
+}
+
+// watchOnce reads before it waits, so that a change whose watch stayed silent is seen within
+// watchBound at the latest.
+func (wa *Watcher) watchOnce(ctx context.Context) error {
+	kp := wa.keeper
+	en, err := kp.store.Get(ctx, platform.PurposeConfiguration, headKey)
+	if err != nil {
+		return err
+	}
+	if err = kp.take(ctx, en); err != nil {
+		return err
+	}
+	en, err = kp.store.Watch(ctx, platform.PurposeConfiguration, headKey, en.Revision(), watchBound)
+	if err != nil {
+		return err
+	}
+	return kp.take(ctx, en)
+}
+
+func (wa *Watcher) wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-wa.opts.Clock.After(d):
+	}
+}
+
+// jitter spreads calls over [d/2, 3d/2) so that hosts do not call at the same time.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + rand.N(d)
+}
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+const (
+	// CallTimeout bounds a call whose context has no earlier deadline.
+	CallTimeout = time.Second
+
+	poolDialTimeout = 500 * time.Millisecond
+)
+
+type (
+	// Pool keeps one connection to each host that is called. A connection on which a call gets no
+	// answer is closed, and the next call opens a new one. It is safe for concurrent use.
+	Pool struct {
+		tls   *tls.Config
+		meter Meter
+
+		mu    sync.Mutex
+		conns map[string]*pooledConn
+	}
+
+	pooledConn struct {
+		mu   sync.Mutex
+		conn *jsonrpc2.Conn
+	}
+
+	ignoreHandler struct{}
+)
+
+// NewPool returns an empty pool. A nil tls configuration means plain TCP.
+func NewPool(conf *tls.Config, meter Meter) *Pool {
+	return &Pool{tls: conf, meter: meter, conns: make(map[string]*pooledConn)}
+}
+
+// Call calls a method of the host at address. It returns an *UnreachableError when no answer
+// came and a *RemoteError when the host answered with a failure.
+func (po *Pool) Call(ctx context.Context, address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	jc, err := po.connect(ctx, address)
+	if err != nil {
+		return NewUnreachableError(address, err)
+	}
+	err = jc.Call(ctx, method, params, result)
+	var re *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &re):
+		return &RemoteError{method: method, message: re.Message}
+	default:
+		po.drop(address, jc)
+		return NewUnreachableError(address, err)
+	}
+}
+
+// Connected returns how many connections are open.
+func (po *Pool) Connected() int {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return len(po.conns)
+}
+
+// Keep closes the connections to all addresses for which keep returns false.
+func (po *Pool) Keep(keep func(address string) bool) {
+	po.mu.Lock()
+	var closing []*pooledConn
+	for address, pc := range po.conns {
+		if !keep(address) {
+			closing = append(closing, pc)
+			delete(po.conns, address)
+		}
+	}
+	po.mu.Unlock()
+	for _, pc := range closing {
+		pc.close()
+	}
+}
+
+// Close closes all connections.
+func (po *Pool) Close() {
+	po.Keep(func(string) bool { return false })
+}
+
+func (po *Pool) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	po.mu.Lock()
+	pc := po.conns[address]
+	if pc == nil {
+		pc = &pooledConn{}
+		po.conns[address] = pc
+	}
+	po.mu.Unlock()
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.isOpen() {
+		return pc.conn, nil
+	}
+	conn, err := po.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	pc.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(conn), ignoreHandler{})
+	return pc.conn, nil
+}
+
+func (po *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	nd := net.Dialer{Timeout: poolDialTimeout}
+	conn, err := nd.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn = Count(conn, po.meter)
+	if po.tls == nil {
+		return conn, nil
+	}
+	tc := tls.Client(conn, po.tls)
+	if err = tc.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return tc, nil
+}
+
+func (po *Pool) drop(address string, jc *jsonrpc2.Conn) {
+	po.mu.Lock()
+	pc := po.conns[address]
+	po.mu.Unlock()
+	_ = jc.Close()
+	if pc == nil {
+		return
+	}
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.conn == jc {
+		pc.conn = nil
+	}
+}
+
+func (pc *pooledConn) isOpen() bool {
+	if pc.conn == nil {
+		return false
+	}
+	select {
+	case <-pc.conn.DisconnectNotify():
+		return false
+	default:
+		return true
+	}
+}
+
+func (pc *pooledConn) close() {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.conn != nil {
+		_ = pc.conn.Close()
+	}
+}
+
+// Handle ignores what the other side sends: only the dialing side calls.
+func (ignoreHandler) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,61 @@
+// Package store is the client of the store hosts, which keep pieces of KV cache.
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/bergamotway/bergamotway/internal/connection"
+	"github.com/bergamotway/bergamotway/internal/engine"
+)
+
+type (
+	// Client asks store hosts which pieces they hold. It is safe for concurrent use.
+	Client struct {
+		dialer *connection.Dialer
+	}
+
+	lookupReply struct {
+		Pieces []engine.Piece `json:"pieces"`
+	}
+)
+
+// NewClient returns a client that opens connections with dialer.
+func NewClient(dialer *connection.Dialer) *Client {
+	return &Client{dialer: dialer}
+}
+
+// Lookup returns the longest run of names, from the first on, that the store host holds as
+// committed pieces. A piece that is being written or was freed is not among them.
+func (c *Client) Lookup(ctx context.Context, address string, names []string) ([]engine.Piece, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI("http://" + address + "/v1/lookup")
+	req.Header.SetMethod(http.MethodPost)
+	req.SetBodyString(strings.Join(names, "\n"))
+	ex, err := c.dialer.Open(ctx, address, req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = ex.Close() }()
+	data, err := io.ReadAll(ex)
+	if err != nil {
+		return nil, err
+	}
+	var out lookupReply
+	if err = json.Unmarshal(data, &out); err != nil {
+		return nil, connection.NewBrokenError(address, false, err)
+	}
+	for i := range out.Pieces {
+		if i >= len(names) || out.Pieces[i].Name != names[i] {
+			return out.Pieces[:i], nil
+		}
+		out.Pieces[i].Store = address
+	}
+	return out.Pieces, nil
+}
--- /dev/null
+++ b/programs/bergamotctl/change.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bergamotway/bergamotway/internal/configuration"
+	"github.com/bergamotway/bergamotway/internal/settings"
+)
+
+// change makes a change, prints the accepted revision and, if asked, waits until it is in force.
+func change(ctx context.Context, cmd *cli.Command, edit func(*configuration.Document) error) error {
+	ed, err := newEditor(cmd)
+	if err != nil {
+		return err
+	}
+	revision, err := ed.Change(ctx, edit)
+	if err != nil {
+		return err
+	}
+	if _, err = fmt.Fprintf(cmd.Root().Writer, "accepted revision %d\n", revision); err != nil {
+		return err
+	}
+	if !cmd.Bool("wait") {
+		return nil
+	}
+	return waitInForce(ctx, cmd, revision)
+}
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name: "apply", Usage: "replace the configuration by a file, JSON with comments", ArgsUsage: "FILE",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			var doc configuration.Document
+			if err := settings.Load(cmd.Args().First(), &doc); err != nil {
+				return err
+			}
+			return change(ctx, cmd, func(old *configuration.Document) error {
+				*old = doc
+				return nil
+			})
+		},
+	}
+}
+
+func classCommand() *cli.Command {
+	return &cli.Command{
+		Name: "class", Usage: "see and change classes of work",
+		Commands: []*cli.Command{
+			{
+				Name: "set", Usage: "create or change a class", ArgsUsage: "CLASS",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "model", Usage: "the model that serves the class"},
+					&cli.DurationFlag{Name: "first-token", Usage: "the target for the time to first token"},
+					&cli.FloatFlag{Name: "cost-target", Usage: "the target for cost, in accelerator seconds"},
+					&cli.IntFlag{Name: "priority", Usage: "a lower number goes first"},
+				},
+				Action: setClass,
+			},
+			{
+				Name: "remove", Usage: "remove a class", ArgsUsage: "CLASS",
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return change(ctx, cmd, func(doc *configuration.Document) error {
+						i := slices.IndexFunc(doc.Classes, func(c configuration.Class) bool { return c.Name == cmd.Args().First() })
+						if i < 0 {
+							return &notFoundError{kind: "class", name: cmd.Args().First()}
+						}
+						doc.Classes = slices.Delete(doc.Classes, i, i+1)
+						return nil
+					})
+				},
+			},
+		},
+	}
+}
+
+func setClass(ctx context.Context, cmd *cli.Command) error {
+	name := cmd.Args().First()
+	return change(ctx, cmd, func(doc *configuration.Document) error {
+		i := slices.IndexFunc(doc.Classes, func(c configuration.Class) bool { return c.Name == name })
+		if i < 0 {
+			doc.Classes = append(doc.Classes, configuration.Class{Name: name})
+			i = len(doc.Classes) - 1
+		}
+		c := &doc.Classes[i]
+		if cmd.IsSet("model") {
+			c.Model = cmd.String("model")
+		}
+		if cmd.IsSet("first-token") {
+			c.FirstToken = settings.Duration(cmd.Duration("first-token"))
+		}
+		if cmd.IsSet("cost-target") {
+			c.CostTarget = cmd.Float("cost-target")
+		}
+		if cmd.IsSet("priority") {
+			c.Priority = cmd.Int("priority")
+		}
+		return nil
+	})
+}
+
+func teamCommand() *cli.Command {
+	return &cli.Command{
+		Name: "team", Usage: "see and change teams",
+		Commands: []*cli.Command{
+			{
+				Name: "set", Usage: "create a team or replace its token", ArgsUsage: "TEAM",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "token", Usage: "the bearer token; only its hash is kept", Required: true},
+					&cli.FloatFlag{Name: "weight", Usage: "the fair share relative to other teams"},
+				},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					name := cmd.Args().First()
+					return change(ctx, cmd, func(doc *configuration.Document) error {
+						doc.Teams = slices.DeleteFunc(doc.Teams, func(t configuration.Team) bool { return t.Name == name })
+						doc.Teams = append(doc.Teams, configuration.Team{
+							Name:        name,
+							TokenHashes: []string{configuration.HashToken(cmd.String("token"))},
+							Weight:      cmd.Float("weight"),
+						})
+						return nil
+					})
+				},
+			},
+		},
+	}
+}
+
+func endpointCommand() *cli.Command {
+	return &cli.Command{
+		Name: "endpoint", Usage: "see and change endpoints",
+		Commands: []*cli.Command{
+			leaveEndpoint("leave", "give an endpoint no new work", true),
+			leaveEndpoint("return", "give an endpoint new work again", false),
+		},
+	}
+}
+
+func leaveEndpoint(name, usage string, leaving bool) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: "ENDPOINT",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return change(ctx, cmd, func(doc *configuration.Document) error {
+				for i := range doc.Endpoints {
+					if doc.Endpoints[i].Name == cmd.Args().First() {
+						doc.Endpoints[i].Leaving = leaving
+						return nil
+					}
+				}
+				return &notFoundError{kind: "endpoint", name: cmd.Args().First()}
+			})
+		},
+	}
+}
+
+func zoneCommand() *cli.Command {
+	return &cli.Command{
+		Name: "zone", Usage: "take availability zones out and bring them back",
+		Commands: []*cli.Command{
+			{
+				Name: "out", Usage: "give an availability zone no new work", ArgsUsage: "ZONE",
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return changeZone(ctx, cmd, func(z *configuration.Zone) { z.Out = true })
+				},
+			},
+			{
+				Name: "in", Usage: "bring an availability zone back with a growing share", ArgsUsage: "ZONE",
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return changeZone(ctx, cmd, func(z *configuration.Zone) {
+						z.Out = false
+						z.InSince = time.Now().UnixMilli()
+					})
+				},
+			},
+		},
+	}
+}
+
+func changeZone(ctx context.Context, cmd *cli.Command, edit func(*configuration.Zone)) error {
+	return change(ctx, cmd, func(doc *configuration.Document) error {
+		for i := range doc.Zones {
+			if doc.Zones[i].Name == cmd.Args().First() {
+				edit(&doc.Zones[i])
+				return nil
+			}
+		}
+		return &notFoundError{kind: "availability zone", name: cmd.Args().First()}
+	})
+}
+
+func hostCommand() *cli.Command {
+	leave := func(name, usage string, leaving bool) *cli.Command {
+		return &cli.Command{
+			Name: name, Usage: usage, ArgsUsage: "HOST",
+			Action: func(ctx context.Context, cmd *cli.Command) error {
+				return change(ctx, cmd, func(doc *configuration.Document) error {
+					host := cmd.Args().First()
+					doc.Hosts = slices.DeleteFunc(doc.Hosts, func(h configuration.Host) bool { return h.Name == host })
+					if leaving {
+						doc.Hosts = append(doc.Hosts, configuration.Host{Name: host, Leaving: true})
+					}
+					return nil
+				})
+			},
+		}
+	}
+	return &cli.Command{
+		Name: "host", Usage: "order entry hosts to leave",
+		Commands: []*cli.Command{
+			leave("leave", "make an entry host not ready", true),
+			leave("return", "make an entry host ready again", false),
+		},
+	}
+}
+
+func rolloutCommand() *cli.Command {
+	return &cli.Command{
+		Name: "rollout", Usage: "bring a weight version to the endpoints of a model", ArgsUsage: "MODEL VERSION",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return changeModel(ctx, cmd, func(m *configuration.Model) { m.NextVersion = cmd.Args().Get(1) })
+		},
+	}
+}
+
+func providerCommand() *cli.Command {
+	return &cli.Command{
+		Name: "provider", Usage: "move a model between providers by shares",
+		Commands: []*cli.Command{
+			{
+				Name: "shift", Usage: "set the share of the second provider", ArgsUsage: "MODEL FROM TO",
+				Flags: []cli.Flag{&cli.FloatFlag{Name: "share", Usage: "the share of TO, from 0 to 1", Required: true}},
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					share := cmd.Float("share")
+					if share < 0 || share > 1 {
+						return &usageError{problem: "--share must be from 0 to 1"}
+					}
+					return changeModel(ctx, cmd, func(m *configuration.Model) {
+						m.EarlierShares = m.Shares
+						m.Shares = []configuration.Share{
+							{Provider: cmd.Args().Get(2), Share: share},
+							{Provider: cmd.Args().Get(1), Share: 1 - share},
+						}
+					})
+				},
+			},
+			{
+				Name: "return", Usage: "return to the shares before the last shift", ArgsUsage: "MODEL",
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return changeModel(ctx, cmd, func(m *configuration.Model) {
+						m.Shares, m.EarlierShares = m.EarlierShares, m.Shares
+					})
+				},
+			},
+		},
+	}
+}
+
+func changeModel(ctx context.Context, cmd *cli.Command, edit func(*configuration.Model)) error {
+	return change(ctx, cmd, func(doc *configuration.Document) error {
+		for i := range doc.Models {
+			if doc.Models[i].Name == cmd.Args().First() {
+				edit(&doc.Models[i])
+				return nil
+			}
+		}
+		return &notFoundError{kind: "model", name: cmd.Args().First()}
+	})
+}
--- /dev/null
+++ b/programs/bergamotctl/view.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bergamotway/bergamotway/internal/host"
+)
+
+const (
+	callTimeout = 2 * time.Second
+	waitLimit   = 30 * time.Second
+	waitPeriod  = 100 * time.Millisecond
+	watchPeriod = time.Second
+)
+
+func showCommand() *cli.Command {
+	return &cli.Command{
+		Name: "show", Usage: "print the configuration that the key-value service holds",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ed, err := newEditor(cmd)
+			if err != nil {
+				return err
+			}
+			sn, err := ed.Read(ctx)
+			if err != nil {
+				return err
+			}
+			if _, err = fmt.Fprintf(cmd.Root().Writer, "// revision %d by %s\n", sn.Revision(), sn.Author()); err != nil {
+				return err
+			}
+			return printJSON(cmd, sn.Document())
+		},
+	}
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "print what each named host says of itself",
+		Action: func(_ context.Context, cmd *cli.Command) error { return printStatus(cmd) },
+	}
+}
+
+func watchCommand() *cli.Command {
+	return &cli.Command{
+		Name: "watch", Usage: "print the status each second until interrupted",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			for ctx.Err() == nil {
+				if err := printStatus(cmd); err != nil {
+					return err
+				}
+				time.Sleep(watchPeriod)
+			}
+			return nil
+		},
+	}
+}
+
+func bookingCommand() *cli.Command {
+	return &cli.Command{
+		Name: "booking", Usage: "see a booking, or settle one whose outcome is unknown",
+		ArgsUsage: "TEAM SERVICE KEY",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settle", Usage: "ran or not-run, as the service's own records say"},
+		},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 3 {
+				return &usageError{problem: "TEAM, SERVICE and KEY are needed"}
+			}
+			method, path := http.MethodGet, "/bookings/"+strings.Join(cmd.Args().Slice(), "/")
+			switch cmd.String("settle") {
+			case "":
+			case "ran":
+				method, path = http.MethodPost, path+"?ran=true"
+			case "not-run":
+				method, path = http.MethodPost, path+"?ran=false"
+			default:
+				return &usageError{problem: "--settle takes ran or not-run"}
+			}
+			hosts := cmd.StringSlice("hosts")
+			if len(hosts) == 0 {
+				return &usageError{problem: "--hosts is needed"}
+			}
+			body, err := call(method, hosts[0], path)
+			if err != nil {
+				return err
+			}
+			_, err = cmd.Root().Writer.Write(body)
+			return err
+		},
+	}
+}
+
+func printStatus(cmd *cli.Command) error {
+	var all []host.Status
+	for _, address := range cmd.StringSlice("hosts") {
+		st, err := statusOf(address)
+		if err != nil {
+			st = host.Status{Host: address, State: "unreachable", Reason: err.Error()}
+		}
+		all = append(all, st)
+	}
+	if cmd.Bool("json") {
+		return printJSON(cmd, all)
+	}
+	tw := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+	rows := []string{"HOST\tZONE\tSTATE\tREVISION\tRUNNING\tMEMBERS\tREASON"}
+	for _, st := range all {
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%s",
+			st.Host, st.Zone, st.State, st.Revision, st.Running, len(st.Members), st.Reason))
+	}
+	if _, err := fmt.Fprintln(tw, strings.Join(rows, "\n")); err != nil {
+		return err
+	}
+	return tw.Flush()
+}
+
+// waitInForce waits until every named host has the revision, and prints each host once.
+func waitInForce(ctx context.Context, cmd *cli.Command, revision uint64) error {
+	missing := cmd.StringSlice("hosts")
+	deadline := time.Now().Add(waitLimit)
+	for {
+		var still []string
+		for _, address := range missing {
+			st, err := statusOf(address)
+			if err != nil || st.Revision < revision {
+				still = append(still, address)
+				continue
+			}
+			if _, err = fmt.Fprintf(cmd.Root().Writer, "in force on %s\n", st.Host); err != nil {
+				return err
+			}
+		}
+		missing = still
+		if len(missing) == 0 {
+			return nil
+		}
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return &waitError{revision: revision, missing: missing}
+		}
+		time.Sleep(waitPeriod)
+	}
+}
+
+func statusOf(address string) (host.Status, error) {
+	var st host.Status
+	body, err := call(http.MethodGet, address, "/status")
+	if err != nil {
+		return st, err
+	}
+	return st, json.Unmarshal(body, &st)
+}
+
+func call(method, address, path string) ([]byte, error) {
+	req, rsp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(rsp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + address + path)
+	if err := fasthttp.DoTimeout(req, rsp, callTimeout); err != nil {
+		return nil, err
+	}
+	if rsp.StatusCode() != http.StatusOK {
+		return nil, &answerError{address: address, status: rsp.StatusCode(), body: string(rsp.Body())}
+	}
+	return append([]byte(nil), rsp.Body()...), nil
+}
+
+func printJSON(cmd *cli.Command, v any) error {
+	enc := json.NewEncoder(cmd.Root().Writer)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
--- /dev/null
+++ b/programs/bergamotway/main.go
@@ -0,0 +1,114 @@
+// Command bergamotway is the daemon of an entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bergamotway/bergamotway/internal/host"
+	"github.com/bergamotway/bergamotway/internal/logs"
+	"github.com/bergamotway/bergamotway/internal/settings"
+)
+
+const (
+	version = "0.1.0"
+
+	exitFailure  = 1
+	exitSettings = 2
+	exitCut      = 3
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "bergamotway",
+		Usage: "serve prompts that return after long gaps",
+		Commands: []*cli.Command{
+			{
+				Name:   "serve",
+				Usage:  "serve until the first SIGTERM, then finish every request; a second one cuts",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: serve,
+			},
+			{
+				Name:   "check-settings",
+				Usage:  "print every fault of a settings file",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: checkSettings,
+			},
+			{
+				Name:  "version",
+				Usage: "print the version",
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					_, err := fmt.Fprintln(cmd.Root().Writer, version)
+					return err
+				},
+			},
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitCode(err))
+	}
+}
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{Name: "settings", Usage: "the settings file, JSON with comments", Required: true}
+}
+
+func checkSettings(_ context.Context, cmd *cli.Command) error {
+	if _, err := host.LoadSettings(cmd.String("settings")); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(cmd.Root().Writer, "ok")
+	return err
+}
+
+func serve(_ context.Context, cmd *cli.Command) error {
+	st, err := host.LoadSettings(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	ho, err := host.New(st, logs.New(os.Stderr, st.LogLevel))
+	if err != nil {
+		return err
+	}
+	stop, cut := stopContexts()
+	return ho.Run(stop, cut)
+}
+
+// stopContexts returns a context that the first signal ends, and one that the second signal ends.
+func stopContexts() (stop, cut context.Context) {
+	stop, cancelStop := context.WithCancel(context.Background())
+	cut, cancelCut := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		cancelStop()
+		<-signals
+		cancelCut()
+	}()
+	return stop, cut
+}
+
+func exitCode(err error) int {
+	var (
+		faults settings.Faults
+		file   *settings.FileError
+		cutErr *host.CutError
+	)
+	switch {
+	case errors.As(err, &faults), errors.As(err, &file):
+		return exitSettings
+	case errors.As(err, &cutErr):
+		return exitCut
+	default:
+		return exitFailure
+	}
+}
--- /dev/null
+++ b/programs/load/demo/demo.go
@@ -0,0 +1,287 @@
+package demo
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	token       = "demo-token"
+	callLimit   = 15 * time.Second
+	historySize = 4 * 16_000
+)
+
+type (
+	chatMessage struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}
+
+	chatRequest struct {
+		Model    string        `json:"model"`
+		Stream   bool          `json:"stream"`
+		Messages []chatMessage `json:"messages"`
+	}
+
+	chatEvent struct {
+		Choices []struct {
+			Delta struct {
+				Content string `json:"content"`
+			} `json:"delta"`
+			FinishReason *string `json:"finish_reason"`
+		} `json:"choices"`
+		Usage *struct {
+			PromptTokens int `json:"prompt_tokens"`
+			Details      struct {
+				Cached int `json:"cached_tokens"`
+			} `json:"prompt_tokens_details"`
+		} `json:"usage"`
+		Error json.RawMessage `json:"error"`
+	}
+)
+
+// Command returns the command that runs the demo.
+func Command() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run the whole path as processes on loopback and check it",
+		Flags: []cli.Flag{&cli.StringFlag{Name: "bin", Value: ".bin", Usage: "the directory of the programs"}},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			return run(ctx, cmd.String("bin"), cmd.Root().Writer)
+		},
+	}
+}
+
+func run(ctx context.Context, bin string, out io.Writer) error {
+	fl, err := NewFleet(bin)
+	if err != nil {
+		return err
+	}
+	defer fl.Close()
+	if err = fl.StartAll(ctx); err != nil {
+		return err
+	}
+	steps := []func(context.Context, *Fleet, io.Writer) error{checkChat, checkBooking, checkStop}
+	for _, step := range steps {
+		if err = step(ctx, fl, out); err != nil {
+			for _, eh := range fl.Hosts {
+				_, _ = fmt.Fprintln(out, fl.Logs(eh.Name))
+			}
+			return err
+		}
+	}
+	_, err = fmt.Fprintln(out, "demo: all checks passed")
+	return err
+}
+
+// StartAll starts the platform, two engines, a store host, a plain service and two entry hosts.
+func (fl *Fleet) StartAll(ctx context.Context) error {
+	var err error
+	if fl.KeyValue, err = fl.StartStandin("key-value", "key-value"); err != nil {
+		return err
+	}
+	if fl.HostList, err = fl.StartStandin("host-list", "host-list"); err != nil {
+		return err
+	}
+	for _, name := range []string{"engine-1", "engine-2"} {
+		address, startErr := fl.StartStandin(name, "engine", "--prefill-rate", "40000")
+		if startErr != nil {
+			return startErr
+		}
+		fl.Engines = append(fl.Engines, address)
+	}
+	store, err := fl.StartStandin("store-1", "store-host")
+	if err != nil {
+		return err
+	}
+	service, err := fl.StartStandin("desk", "service")
+	if err != nil {
+		return err
+	}
+	fl.Stores, fl.Services = []string{store}, []string{service}
+	peers := []string{}
+	for _, name := range []string{"entry-1", "entry-2"} {
+		eh, startErr := fl.StartHost(name, "mid-a", peers)
+		if startErr != nil {
+			return startErr
+		}
+		fl.Hosts = append(fl.Hosts, eh)
+		peers = append(peers, eh.Peer)
+	}
+	path, err := fl.WriteFile("configuration.json", fl.document())
+	if err != nil {
+		return err
+	}
+	if _, err = fl.Control(ctx, "--wait", "apply", path); err != nil {
+		return err
+	}
+	for _, step := range [][]string{{"team", "set", "hartlebury", "--token", token}} {
+		if _, err = fl.Control(ctx, append([]string{"--wait"}, step...)...); err != nil {
+			return err
+		}
+	}
+	for _, eh := range fl.Hosts {
+		if err = fl.AwaitReady(eh); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (fl *Fleet) document() map[string]any {
+	var endpoints []map[string]any
+	for i, address := range fl.Engines {
+		endpoints = append(endpoints, map[string]any{
+			"name": fmt.Sprintf("engine-%d", i+1), "address": address, "availability-zone": "mid-a", "model": "assistant",
+		})
+	}
+	return map[string]any{
+		"availability-zones": []map[string]any{{"name": "mid-a"}},
+		"models": []map[string]any{{
+			"name": "assistant", "version": "v1", "prefill-rate": 40000, "cold-time": "100ms",
+		}},
+		"classes": []map[string]any{
+			{"name": "crew", "model": "assistant", "first-token": "550ms"},
+			{"name": "draft", "model": "assistant", "first-token": "10s", "priority": 5},
+		},
+		"endpoints":   endpoints,
+		"store-hosts": []map[string]any{{"name": "store-1", "address": fl.Stores[0], "availability-zone": "mid-a", "link-rate": 1e10}},
+		"services":    []map[string]any{{"name": "desk", "addresses": fl.Services, "repeatable": []string{"/stock"}}},
+	}
+}
+
+// checkChat sends a long history through one host and its return through the other.
+func checkChat(_ context.Context, fl *Fleet, out io.Writer) error {
+	text := strings.Repeat("The butcher's boning knife was ground at 18 degrees. ", historySize/53)
+	first, _, err := fl.Chat(fl.Hosts[0], text+"Which edge?")
+	if err != nil {
+		return err
+	}
+	second, cached, err := fl.Chat(fl.Hosts[1], text+"Which edge?")
+	if err != nil {
+		return err
+	}
+	if _, err = fmt.Fprintf(out, "first answer:  %s\nsecond answer: %s\nreused tokens: %d\n", first, second, cached); err != nil {
+		return err
+	}
+	if first == "" || first != second {
+		return failed("the answers differ: %q and %q", first, second)
+	}
+	if cached == 0 {
+		return failed("the return reused nothing")
+	}
+	return nil
+}
+
+// checkBooking books once on each host under one key.
+func checkBooking(_ context.Context, fl *Fleet, out io.Writer) error {
+	first, err := fl.Book(fl.Hosts[0], "visit-7", `{"visit":"monday"}`)
+	if err != nil {
+		return err
+	}
+	second, err := fl.Book(fl.Hosts[1], "visit-7", `{"visit":"monday"}`)
+	if err != nil {
+		return err
+	}
+	_, runs, err := fasthttp.GetTimeout(nil, "http://"+fl.Services[0]+"/runs/visit-7", callLimit)
+	if err != nil {
+		return errors.Wrap(err, "demo: runs")
+	}
+	if _, err = fmt.Fprintf(out, "first booking:  %s\nsecond booking: %s\nruns: %s\n", first, second, runs); err != nil {
+		return err
+	}
+	if first != second || string(runs) != "1" {
+		return failed("the booking ran %s times", runs)
+	}
+	return nil
+}
+
+// checkStop stops every daemon and stand-in gracefully.
+func checkStop(_ context.Context, fl *Fleet, out io.Writer) error {
+	for _, eh := range fl.Hosts {
+		if err := fl.Stop(eh.Name); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintln(out, eh.Name, "stopped gracefully"); err != nil {
+			return err
+		}
+	}
+	for _, name := range []string{"engine-1", "engine-2", "store-1", "desk", "host-list", "key-value"} {
+		if err := fl.Stop(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Chat streams an answer and returns it with the number of tokens that were not read again.
+func (fl *Fleet) Chat(eh EntryHost, text string) (answer string, cached int, err error) {
+	body, err := json.Marshal(chatRequest{Model: "crew", Stream: true, Messages: []chatMessage{{Role: "user", Content: text}}})
+	if err != nil {
+		return "", 0, errors.Wrap(err, "demo: chat")
+	}
+	status, data, err := fl.post(eh, "/v1/chat/completions", "", body)
+	if err != nil || status != fasthttp.StatusOK {
+		return "", 0, failed("chat answered %d: %s %v", status, data, err)
+	}
+	isWhole := false
+	sc := bufio.NewScanner(bytes.NewReader(data))
+	for sc.Scan() {
+		line, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if line == "[DONE]" {
+			isWhole = true
+			continue
+		}
+		var ev chatEvent
+		if err = json.Unmarshal([]byte(line), &ev); err != nil || len(ev.Error) > 0 {
+			return "", 0, failed("stream: %s %v", line, err)
+		}
+		for _, ch := range ev.Choices {
+			answer += ch.Delta.Content
+		}
+		if ev.Usage != nil {
+			cached = ev.Usage.Details.Cached
+		}
+	}
+	if !isWhole {
+		return "", 0, failed("the answer is not whole")
+	}
+	return strings.TrimSpace(answer), cached, nil
+}
+
+// Book sends a booking and returns the service's receipt.
+func (fl *Fleet) Book(eh EntryHost, key, body string) (string, error) {
+	status, data, err := fl.post(eh, "/services/desk/book", key, []byte(body))
+	if err != nil || status != fasthttp.StatusOK {
+		return "", failed("booking answered %d: %s %v", status, data, err)
+	}
+	return string(data), nil
+}
+
+func (fl *Fleet) post(eh EntryHost, path, key string, body []byte) (int, []byte, error) {
+	req, rsp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(rsp)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetRequestURI("http://" + eh.Listen + path)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+token)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	req.SetBody(body)
+	err := fasthttp.DoTimeout(req, rsp, callLimit)
+	return rsp.StatusCode(), append([]byte(nil), rsp.Body()...), err
+}
--- /dev/null
+++ b/programs/load/main.go
@@ -0,0 +1,26 @@
+// Command load runs the demo and the measurements.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/bergamotway/bergamotway/programs/load/demo"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "load",
+		Usage: "run the demo and the measurements",
+		Commands: []*cli.Command{
+			demo.Command(),
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
