--- a/internal/membership/gossiper.go
+++ b/internal/membership/gossiper.go
@@ -27,6 +27,7 @@
 	neighbourCount  = 4
 	updatesPerRound = 8
 	indirectProbes  = 2
+	exchangeTries   = 2
 	strangerPeriod  = 5 * time.Second
 )
 
--- a/programs/load/demo/fleet.go
+++ b/programs/load/demo/fleet.go
@@ -44,7 +44,8 @@
 	process struct {
 		cmd *exec.Cmd
 
-		done chan error
+		done chan struct{}
+		err  error
 	}
 
 	// CheckError reports a check of the demo that failed.
@@ -182,8 +183,8 @@
 	delete(fl.processes, name)
 	_ = pr.cmd.Process.Signal(syscall.SIGTERM)
 	select {
-	case err := <-pr.done:
-		return errors.Wrapf(err, "demo: %s", name)
+	case <-pr.done:
+		return errors.Wrapf(pr.err, "demo: %s", name)
 	case <-time.After(stopLimit):
 		_ = pr.cmd.Process.Kill()
 		return failed("%s did not stop within %v", name, stopLimit)
@@ -228,8 +229,11 @@
 	if err = cmd.Start(); err != nil {
 		return errors.Wrapf(err, "demo: start %s", name)
 	}
-	pr := &process{cmd: cmd, done: make(chan error, 1)}
-	go func() { pr.done <- cmd.Wait() }()
+	pr := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		pr.err = cmd.Wait()
+		close(pr.done)
+	}()
 	fl.processes[name] = pr
 	return nil
 }
