--- a/internal/configuration/watcher.go
+++ b/internal/configuration/watcher.go
@@ -17,6 +17,8 @@
 		IsAmongFirst func(name string, n int) bool
 		// Clock is used for waiting.
 		Clock clock.Clock
+		// Rand spreads calls over time.
+		Rand *rand.Rand
 		// Failed is called for each failed call; nil is allowed.
 		Failed func(error)
 	}
@@ -33,7 +35,7 @@
 	// watchingHosts is how many hosts hold a watch at a time.
 	watchingHosts = 8
 	// watchBound is the longest watch; a silent one is replaced after it.
-	watchBound = 5 * time.Second
+	watchBound = 2 * time.Second
 	// pollPeriod is the time between two polls of a host without a watch.
 	pollPeriod = 60 * time.Second
 	// retryDelay is the first delay after a failed call; it doubles up to retryDelayLimit.
@@ -58,7 +60,7 @@
 		if wa.opts.Failed != nil {
 			wa.opts.Failed(err)
 		}
-		wa.wait(ctx, jitter(delay))
+		wa.wait(ctx, wa.jitter(delay))
 		delay = min(2*delay, retryDelayLimit)
 	}
 }
@@ -69,11 +71,11 @@
 		if err := kp.Pull(ctx); err != nil || kp.Revision() > 0 {
 			return err
 		}
-		wa.wait(ctx, jitter(retryDelay))
+		wa.wait(ctx, wa.jitter(retryDelay))
 		return nil
 	}
 	if !wa.opts.IsAmongFirst("configuration", watchingHosts) {
-		wa.wait(ctx, jitter(pollPeriod))
+		wa.wait(ctx, wa.jitter(pollPeriod))
 		return kp.Pull(ctx)
 	}
 	return wa.watchOnce(ctx)
@@ -105,6 +107,6 @@
 }
 
 // jitter spreads calls over [d/2, 3d/2) so that hosts do not call at the same time.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + rand.N(d)
+func (wa *Watcher) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(wa.opts.Rand.Int64N(int64(d)))
 }
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -61,6 +61,11 @@
 		rollout.Engines
 	}
 
+	// Registrar takes the methods that other hosts call.
+	Registrar interface {
+		Register(method string, h peer.Handler)
+	}
+
 	// ControlParts are what a Control works with. All are required but HasList.
 	ControlParts struct {
 		Self     membership.Member
@@ -71,6 +76,8 @@
 		Reporter Reporter
 		Seeds    []string
 		Log      *logrus.Logger
+		// Rand spreads calls over time; nil means a random seed.
+		Rand *rand.Rand
 	}
 
 	// Control is the control state of a host: membership, configuration, leases, owned endpoints
@@ -110,6 +117,9 @@
 
 // NewControl returns the control state of a host. Run must run for it to change.
 func NewControl(parts ControlParts) *Control {
+	if parts.Rand == nil {
+		parts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	co := &Control{ControlParts: parts, log: logs.For(parts.Log, logs.Host)}
 	co.Table = membership.NewTable(parts.Clock, parts.Self)
 	store := &freshStore{Store: parts.Platform, clk: parts.Clock, heard: &co.pulled}
@@ -120,6 +130,7 @@
 		Seeds:    func() []string { return parts.Seeds },
 		Revision: co.Keeper.Revision,
 		Newer:    co.fetch,
+		Rand:     split(parts.Rand),
 	})
 	co.Leases = lease.NewKeeper(parts.Clock, store, parts.Self.Name)
 	co.Slots = slot.NewTable(parts.Clock, co)
@@ -135,7 +146,7 @@
 }
 
 // Register adds the methods that other hosts call.
-func (co *Control) Register(sv *peer.Server) {
+func (co *Control) Register(sv Registrar) {
 	sv.Register(membership.MethodGossip, co.Gossiper.HandleGossip)
 	sv.Register(membership.MethodProbe, co.Gossiper.HandleProbe)
 	sv.Register(slot.MethodTake, co.Desk.HandleTake)
@@ -158,13 +169,15 @@
 	watcher := configuration.NewWatcher(co.Keeper, configuration.WatcherOptions{
 		IsAmongFirst: func(name string, n int) bool { return co.Table.View().IsAmongFirst(name, n) },
 		Clock:        co.Clock,
+		Rand:         split(co.Rand),
 		Failed:       func(err error) { logs.For(co.Log, logs.Configuration).WithError(err).Debug("Watch failed.") },
 	})
 	run(watcher.Run)
 	run(co.Gossiper.Run)
 	run(co.Ledger.Run)
 	run(co.pollReports)
-	run(co.pollList)
+	listRand := split(co.Rand)
+	run(func(ctx context.Context) { co.pollList(ctx, listRand) })
 	run(co.rollouts().Run)
 	return eg.Wait()
 }
@@ -351,7 +364,7 @@
 
 // pollList follows the platform's list. A few hosts read it often and tell the others what
 // changed; the others read it seldom.
-func (co *Control) pollList(ctx context.Context) {
+func (co *Control) pollList(ctx context.Context, rnd *rand.Rand) {
 	for ctx.Err() == nil && co.HasList {
 		isReader := co.Table.View().IsAmongFirst("host-list", listReaders)
 		if hosts, err := co.Platform.Hosts(ctx); err == nil {
@@ -364,7 +377,7 @@
 		}
 		period := listPeriod
 		if !isReader {
-			period = listSlowPeriod/2 + rand.N(listSlowPeriod)
+			period = listSlowPeriod/2 + time.Duration(rnd.Int64N(int64(listSlowPeriod)))
 		}
 		co.wait(ctx, period)
 	}
@@ -407,6 +420,11 @@
 
 func (co *Control) isAlone() bool { return co.Table.Len() == 1 && len(co.Seeds) == 0 }
 
+// split returns a source of its own for one goroutine.
+func split(rnd *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64()))
+}
+
 func listen(address string) (net.Listener, error) {
 	return net.Listen("tcp", address)
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -19,9 +19,8 @@
 	revisionHeader = "X-Revision"
 	writeIDHeader  = "X-Write-Id"
 
-	defaultCallTimeout = 2 * time.Second
-	dialTimeout        = time.Second
-	watchMargin        = 2 * time.Second
+	defaultCallTimeout = time.Second
+	watchMargin        = 500 * time.Millisecond
 	casAttempts        = 3
 )
 
