booking: read the log again before an answer that may be outdated

Cause: TestBookingSettledByOperator failed: a host that remembered an intent answered 'outcome unknown' although an operator had settled it on another host. Found by the test, which failed first. Also: synctest hung in TestBookingResendsRace, because a mutex was held during I/O; a lock that ends with a context replaces it in the log, the leases and the fetch of configurations. Change: a decision that a later record may have changed is taken anew after one read.

--- a/internal/booking/range.go
+++ b/internal/booking/range.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/bergamotway/bergamotway/internal/lock"
 	"github.com/bergamotway/bergamotway/internal/platform"
 )
 
@@ -22,12 +23,16 @@
 		prefix string
 		queue  chan *submission
 
-		mu       sync.Mutex
+		// io is held while the log is read or written. It guards the fields up to segments.
+		io       *lock.Lock
 		isLoaded bool
 		head     segment
 		revision uint64
-		index    map[string]Record
 		segments map[string]bool
+
+		// mu guards the fields below and the isAbandoned of submissions, for short times.
+		mu    sync.Mutex
+		index map[string]Record
 		// backlog holds what must become durable in the end although nobody waits for it.
 		backlog []*submission
 	}
@@ -57,6 +62,7 @@
 		store:    store,
 		prefix:   fmt.Sprintf("booking/%02d/", number),
 		queue:    make(chan *submission, queueLength),
+		io:       lock.New(),
 		index:    make(map[string]Record),
 		segments: make(map[string]bool),
 	}
@@ -93,9 +99,7 @@
 
 // known answers from memory what can never change: a recorded answer.
 func (rl *rangeLog) known(rec Record) (Decision, bool) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	old := rl.index[rec.ID]
+	old := rl.get(rec.ID)
 	if rec.State != Intended || old.State != Done {
 		return Decision{}, false
 	}
@@ -121,15 +125,23 @@
 }
 
 func (rl *rangeLog) look(ctx context.Context, id string) (Record, error) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	if rec := rl.index[id]; rec.State == Done {
+	if rec := rl.get(id); rec.State == Done {
 		return rec, nil
 	}
+	if err := rl.io.Acquire(ctx); err != nil {
+		return Record{}, platform.NewUnavailableError("booking look", err)
+	}
+	defer rl.io.Release()
 	if err := rl.reload(ctx); err != nil {
 		return Record{}, err
 	}
-	return rl.index[id], nil
+	return rl.get(id), nil
+}
+
+func (rl *rangeLog) get(id string) Record {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return rl.index[id]
 }
 
 func (rl *rangeLog) run(ctx context.Context) {
@@ -175,48 +187,60 @@
 // commit writes a batch with one compare-and-swap. A conflict means that another host wrote: the
 // log is read again and every submission is decided anew.
 func (rl *rangeLog) commit(ctx context.Context, batch []*submission) {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
 	var last error
 	for range commitAttempts {
-		last = rl.commitOnce(ctx, batch)
+		last = rl.commitLocked(ctx, batch)
 		if last == nil {
 			return
 		}
-		rl.isLoaded = false
 		if ctx.Err() != nil {
 			break
 		}
-		rl.mu.Unlock()
 		<-rl.opts.Clock.After(commitRetryWait)
-		rl.mu.Lock()
 	}
 	for _, sb := range batch {
 		sb.reply <- result{err: last}
-		if !sb.isAbandoned {
-			rl.keep(sb.record)
-		}
+		rl.giveUp(sb)
+	}
+}
+
+func (rl *rangeLog) commitLocked(ctx context.Context, batch []*submission) error {
+	if err := rl.io.Acquire(ctx); err != nil {
+		return err
+	}
+	defer rl.io.Release()
+	err := rl.commitOnce(ctx, batch)
+	if err != nil {
+		rl.isLoaded = false
+	}
+	return err
+}
+
+// giveUp keeps a record that did not become durable, unless its submitter has done so.
+func (rl *rangeLog) giveUp(sb *submission) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	if !sb.isAbandoned {
+		rl.keep(sb.record)
 	}
 }
 
 func (rl *rangeLog) commitOnce(ctx context.Context, batch []*submission) error {
-	if !rl.isLoaded {
+	isFresh := !rl.isLoaded
+	if isFresh {
 		if err := rl.reload(ctx); err != nil {
 			return err
 		}
 	}
-	decisions := make([]Decision, len(batch))
-	next := segment{Previous: rl.head.Previous, Records: append([]Record(nil), rl.head.Records...)}
-	pending := make(map[string]Record)
-	for i, sb := range batch {
-		rec, d := rl.decide(sb, pending)
-		decisions[i] = d
-		if rec.State != Absent {
-			pending[rec.ID] = rec
-			next.Records = append(next.Records, rec)
+	next, decisions := rl.decideAll(batch)
+	if !isFresh && slices.ContainsFunc(decisions, Decision.isOutdatable) {
+		// What this host remembers of an intent may be out of date: another host may have written.
+		if err := rl.reload(ctx); err != nil {
+			return err
 		}
+		next, decisions = rl.decideAll(batch)
 	}
-	if len(pending) > 0 {
+	if len(next.Records) > len(rl.head.Records) {
 		if err := rl.write(ctx, next); err != nil {
 			return err
 		}
@@ -227,15 +251,31 @@
 	return nil
 }
 
+// decideAll returns the head as it has to be written, and the decisions once it is.
+func (rl *rangeLog) decideAll(batch []*submission) (segment, []Decision) {
+	decisions := make([]Decision, len(batch))
+	next := segment{Previous: rl.head.Previous, Records: slices.Clone(rl.head.Records)}
+	pending := make(map[string]Record)
+	for i, sb := range batch {
+		rec, d := rl.decide(sb, pending)
+		decisions[i] = d
+		if rec.State != Absent {
+			pending[rec.ID] = rec
+			next.Records = append(next.Records, rec)
+		}
+	}
+	return next, decisions
+}
+
 // decide returns the record to write, if any, and the decision once it is written.
 func (rl *rangeLog) decide(sb *submission, pending map[string]Record) (Record, Decision) {
 	rec := sb.record
 	old, ok := pending[rec.ID]
 	if !ok {
-		old = rl.index[rec.ID]
+		old = rl.get(rec.ID)
 	}
 	if rec.State == Intended {
-		if sb.isAbandoned {
+		if rl.isAbandoned(sb) {
 			return Record{}, Decision{}
 		}
 		if d := old.decide(Request{ID: rec.ID, Intent: rec.Intent, Body: rec.Body}); d.Verdict != 0 {
@@ -254,6 +294,12 @@
 	return rec, Decision{}
 }
 
+func (rl *rangeLog) isAbandoned(sb *submission) bool {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
+	return sb.isAbandoned
+}
+
 func (rl *rangeLog) write(ctx context.Context, next segment) error {
 	data, err := json.Marshal(next)
 	if err != nil {
@@ -358,6 +404,8 @@
 }
 
 func (rl *rangeLog) remember(recs []Record) {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
 	for _, rec := range recs {
 		if old, ok := rl.index[rec.ID]; ok && old.State == Done && rec.State != Done {
 			continue
@@ -367,6 +415,8 @@
 }
 
 func (rl *rangeLog) expire() {
+	rl.mu.Lock()
+	defer rl.mu.Unlock()
 	limit := rl.opts.Clock.Now().Add(-retention - time.Hour).UnixMilli()
 	for id, rec := range rl.index {
 		if rec.AtMs < limit {
--- a/internal/booking/record.go
+++ b/internal/booking/record.go
@@ -150,6 +150,11 @@
 	}
 }
 
+// isOutdatable reports whether a later record may have changed the decision.
+func (d Decision) isOutdatable() bool {
+	return d.Verdict == Pending || d.Verdict == Conflict
+}
+
 func parseSegment(key string, data []byte) (segment, error) {
 	var sg segment
 	if len(data) == 0 {
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -262,6 +262,7 @@
 	if !isGone && !isNew {
 		return
 	}
+	an.place.start = ld.StartID
 	name := an.place.view.Name
 	fps := an.di.Registry.Running(name)
 	id := name + "/" + start
@@ -317,18 +318,11 @@
 		Grant:    an.place.grant,
 		Root:     root,
 		Resident: resident,
-		StartID:  an.startSeen(),
+		StartID:  an.place.start,
 	})
 	an.place.grant = ""
 }
 
-func (an *Answer) startSeen() string {
-	if an.stream == nil {
-		return ""
-	}
-	return an.stream.StartID()
-}
-
 const (
 	reasonDial     = "dial-failed"
 	reasonRefused  = "refused"
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -182,8 +182,8 @@
 	}
 }
 
-// take asks the owner of the endpoint for a place. Without an answer from the owner only an
-// endpoint that was confirmed to be warm may be used.
+// take asks the owner of the endpoint for a place. Without an answer from the owner the endpoint is
+// not used, since it may have turned cold.
 func (di *Dispatcher) take(ctx context.Context, job Job, root string, pl *place) bool {
 	asked := di.Clock.Now()
 	ans, err := di.Slots.Take(ctx, slot.Ask{
@@ -196,7 +196,7 @@
 	})
 	pl.useBy = asked.Add(slot.UseBy)
 	if err != nil || ans.Reason == slot.NotOwner {
-		return pl.view.IsConfirmed
+		return false
 	}
 	di.Registry.Answered(pl.view.Name, ans)
 	isOther := ans.Version != "" && ans.Version != pl.scope.Version
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -23,8 +23,6 @@
 	rampTime = 40 * time.Second
 	// rampStart is the share with which a returning availability zone begins.
 	rampStart = 0.1
-	// confirmTerm is how long a host may rely on an owner's word that an endpoint is warm.
-	confirmTerm = 10 * time.Second
 
 	shareSteps = 1000
 )
@@ -41,8 +39,6 @@
 		Running int
 		// Resident is how many tokens of the history asked for it has, as far as this host knows.
 		Resident int
-		// IsConfirmed reports whether an owner said recently that it is warm.
-		IsConfirmed bool
 	}
 
 	// Registry is safe for concurrent use.
@@ -228,12 +224,11 @@
 func (st *state) view(ep configuration.Endpoint, root string, now time.Time, rate float64) View {
 	age := now.Sub(st.answered)
 	return View{
-		Endpoint:    ep,
-		Version:     st.answer.Version,
-		Backlog:     max(0, st.answer.Backlog-age.Seconds()*rate),
-		Running:     max(len(st.running), st.answer.Running),
-		Resident:    st.roots[root],
-		IsConfirmed: age < confirmTerm && !st.answer.IsCold,
+		Endpoint: ep,
+		Version:  st.answer.Version,
+		Backlog:  max(0, st.answer.Backlog-age.Seconds()*rate),
+		Running:  max(len(st.running), st.answer.Running),
+		Resident: st.roots[root],
 	}
 }
 
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -8,18 +8,19 @@
 	"net"
 	"slices"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/bergamotway/bergamotway/internal/booking"
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/configuration"
 	"github.com/bergamotway/bergamotway/internal/endpoint"
 	"github.com/bergamotway/bergamotway/internal/lease"
+	"github.com/bergamotway/bergamotway/internal/lock"
 	"github.com/bergamotway/bergamotway/internal/logs"
 	"github.com/bergamotway/bergamotway/internal/membership"
 	"github.com/bergamotway/bergamotway/internal/peer"
@@ -98,8 +99,10 @@
 		log       logrus.FieldLogger
 		pulled    atomic.Int64
 		isLeaving atomic.Bool
-		fetching  sync.Mutex
-		listed    atomic.Pointer[[]platform.ListedHost]
+		fetching  *lock.Lock
+		// confirming joins concurrent questions to one endpoint.
+		confirming singleflight.Group
+		listed     atomic.Pointer[[]platform.ListedHost]
 
 		ownedView      *membership.View
 		ownedSnapshot  *configuration.Snapshot
@@ -120,7 +123,7 @@
 	if parts.Rand == nil {
 		parts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	co := &Control{ControlParts: parts, log: logs.For(parts.Log, logs.Host)}
+	co := &Control{ControlParts: parts, log: logs.For(parts.Log, logs.Host), fetching: lock.New()}
 	co.Table = membership.NewTable(parts.Clock, parts.Self)
 	store := &freshStore{Store: parts.Platform, clk: parts.Clock, heard: &co.pulled}
 	co.Keeper = configuration.NewKeeper(store, co.configured)
@@ -134,7 +137,7 @@
 	})
 	co.Leases = lease.NewKeeper(parts.Clock, store, parts.Self.Name)
 	co.Slots = slot.NewTable(parts.Clock, co)
-	co.Desk = slot.NewDesk(co.Slots, co, parts.Caller, co.limits)
+	co.Desk = slot.NewDesk(co.Slots, co, parts.Caller, co.limits, co.confirm)
 	co.Registry = endpoint.NewRegistry(parts.Clock, co.Keeper.Snapshot)
 	co.Board = quarantine.NewBoard(parts.Clock)
 	co.Ledger = booking.NewLedger(store, booking.Options{Clock: parts.Clock})
@@ -231,7 +234,7 @@
 
 // IsSettled reports whether this host may give places on an endpoint in cold start.
 func (co *Control) IsSettled(name string) bool {
-	return co.Leases.Hold(context.Background(), "endpoint/"+name).IsSettled(co.Clock.Now())
+	return co.Leases.Peek("endpoint/" + name).IsSettled(co.Clock.Now())
 }
 
 // AnnounceCrash tells the other hosts which requests were running at a crash.
@@ -277,8 +280,10 @@
 // fetch brings a newer configuration from a peer.
 func (co *Control) fetch(ctx context.Context, address string) {
 	go func() {
-		co.fetching.Lock()
-		defer co.fetching.Unlock()
+		if co.fetching.Acquire(ctx) != nil {
+			return
+		}
+		defer co.fetching.Release()
 		var up configuration.Update
 		err := co.Caller.Call(ctx, address, methodConfiguration, sinceParams{Revision: co.Keeper.Revision()}, &up)
 		if err == nil && up.Head.Revision > 0 {
@@ -346,6 +351,17 @@
 	return co.ownedEndpoints
 }
 
+func (co *Control) confirm(ctx context.Context, name string) {
+	ep, ok := co.Keeper.Snapshot().Endpoint(name)
+	if !ok {
+		return
+	}
+	_, _, _ = co.confirming.Do(name, func() (any, error) {
+		co.pollReport(context.WithoutCancel(ctx), ep)
+		return struct{}{}, nil
+	})
+}
+
 func (co *Control) pollReport(ctx context.Context, ep configuration.Endpoint) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -358,7 +374,7 @@
 		logs.For(co.Log, logs.Endpoint).WithField("endpoint", ep.Name).Warn("Endpoint started anew.")
 	}
 	if co.Slots.IsCold(ep.Name, co.limits(ep.Name)) {
-		co.IsSettled(ep.Name)
+		co.Leases.Hold(ctx, "endpoint/"+ep.Name)
 	}
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -6,12 +6,14 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/lock"
 	"github.com/bergamotway/bergamotway/internal/platform"
 )
 
@@ -47,6 +49,9 @@
 	}
 
 	entry struct {
+		// asking is held while the service is asked.
+		asking *lock.Lock
+
 		mu       sync.Mutex
 		lease    Lease
 		revision uint64
@@ -77,39 +82,47 @@
 // that is away leaves a lease as it is: it lapses by the holder's own clock.
 func (kp *Keeper) Hold(ctx context.Context, name string) Lease {
 	en := kp.entry(name)
-	en.mu.Lock()
-	defer en.mu.Unlock()
+	if en.asking.Acquire(ctx) != nil {
+		return en.get()
+	}
+	defer en.asking.Release()
 	now := kp.clk.Now()
 	wait := retryAfter
-	if en.lease.IsHeld(now) {
+	if en.get().IsHeld(now) {
 		wait = renewAfter
 	}
-	if now.Sub(en.asked) < wait {
-		return en.lease
+	if now.Sub(en.asked) >= wait {
+		en.asked = now
+		kp.ask(ctx, name, en, now)
 	}
-	en.asked = now
-	kp.ask(ctx, name, en, now)
-	return en.lease
+	return en.get()
 }
 
+// Peek returns the lease as it stands without asking the service.
+func (kp *Keeper) Peek(name string) Lease { return kp.entry(name).get() }
+
 // Release gives up every lease, so that the next holder need not wait for the term to end.
 func (kp *Keeper) Release(ctx context.Context) {
 	kp.mu.Lock()
-	defer kp.mu.Unlock()
-	for name, en := range kp.leases {
-		en.mu.Lock()
-		if en.lease.IsHeld(kp.clk.Now()) {
-			en.lease = Lease{}
-			wr := platform.Write{Key: key(name), Value: nil, Revision: en.revision, TTL: time.Millisecond}
+	entries := maps.Clone(kp.leases)
+	kp.mu.Unlock()
+	for name, en := range entries {
+		if en.asking.Acquire(ctx) != nil {
+			return
+		}
+		if en.get().IsHeld(kp.clk.Now()) {
+			en.set(Lease{})
+			wr := platform.Write{Key: key(name), Revision: en.revision, TTL: time.Millisecond}
 			_, _ = kp.store.CompareAndSwap(ctx, platform.PurposeLease, wr)
 		}
-		en.mu.Unlock()
+		en.asking.Release()
 	}
 }
 
 func (kp *Keeper) ask(ctx context.Context, name string, en *entry, now time.Time) {
 	wr := platform.Write{Key: key(name), Value: []byte(kp.host), Revision: en.revision, TTL: Term}
-	if !en.lease.IsHeld(now) {
+	ls := en.get()
+	if !ls.IsHeld(now) {
 		wr.Revision = 0
 	}
 	won, err := kp.store.CompareAndSwap(ctx, platform.PurposeLease, wr)
@@ -117,21 +130,34 @@
 	switch {
 	case err == nil && wr.Revision > 0:
 		en.revision = won.Revision()
-		en.lease.until = now.Add(Term - Margin)
+		ls.until = now.Add(Term - Margin)
+		en.set(ls)
 	case err == nil:
 		en.revision = won.Revision()
-		en.lease = Lease{fencing: won.Revision(), from: kp.clk.Now(), until: now.Add(Term - Margin)}
+		en.set(Lease{fencing: won.Revision(), from: kp.clk.Now(), until: now.Add(Term - Margin)})
 	case errors.As(err, &ce):
-		en.lease = Lease{}
+		en.set(Lease{})
 	}
 }
 
+func (en *entry) get() Lease {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.lease
+}
+
+func (en *entry) set(ls Lease) {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	en.lease = ls
+}
+
 func (kp *Keeper) entry(name string) *entry {
 	kp.mu.Lock()
 	defer kp.mu.Unlock()
 	en := kp.leases[name]
 	if en == nil {
-		en = &entry{}
+		en = &entry{asking: lock.New()}
 		kp.leases[name] = en
 	}
 	return en
--- a/internal/session/fake_test.go
+++ b/internal/session/fake_test.go
@@ -65,6 +65,7 @@
 		tokens    int
 		crashes   int
 		loads     int
+		opened    int
 	}
 
 	nodeEngines struct {
@@ -301,6 +302,7 @@
 	if rn.Version != en.version {
 		return nil, engine.NewRefusedError(en.name, http.StatusConflict)
 	}
+	en.opened++
 	ctx, cancel := context.WithCancel(ctx)
 	en.running[rn.ID] = cancel
 	en.peak = max(en.peak, len(en.running))
--- a/internal/slot/desk.go
+++ b/internal/slot/desk.go
@@ -25,6 +25,9 @@
 		EndpointOwner(endpoint string) (address string, isSelf bool)
 	}
 
+	// Confirm asks an endpoint for its report and takes it into the table.
+	Confirm func(ctx context.Context, endpoint string)
+
 	// LimitsOf returns the bounds of an endpoint.
 	LimitsOf func(endpoint string) Limits
 
@@ -35,20 +38,25 @@
 		owners Owners
 		caller Caller
 		limits LimitsOf
+		// confirm is called when the table must see an endpoint again.
+		confirm Confirm
 	}
 )
 
+// confirmTries is how often a place is asked for anew after the endpoint was seen again.
+const confirmTries = 3
+
 // NewDesk returns a desk over this host's own table.
-func NewDesk(table *Table, owners Owners, caller Caller, limits LimitsOf) *Desk {
-	return &Desk{table: table, owners: owners, caller: caller, limits: limits}
+func NewDesk(table *Table, owners Owners, caller Caller, limits LimitsOf, confirm Confirm) *Desk {
+	return &Desk{table: table, owners: owners, caller: caller, limits: limits, confirm: confirm}
 }
 
-// Take asks the owner for a place. An error means that the owner gave no answer: then an
-// endpoint in cold start, or of unknown warmth, must not be used.
+// Take asks the owner for a place. An error means that the owner gave no answer; the endpoint
+// must not be used then, because it may have turned cold.
 func (dk *Desk) Take(ctx context.Context, ask Ask) (Answer, error) {
 	address, isSelf := dk.owners.EndpointOwner(ask.Endpoint)
 	if isSelf {
-		return dk.table.Take(ask, dk.limits(ask.Endpoint)), nil
+		return dk.take(ctx, ask), nil
 	}
 	var ans Answer
 	err := dk.caller.Call(ctx, address, MethodTake, ask, &ans)
@@ -68,7 +76,7 @@
 
 // HandleTake answers another host. A host that does not own the endpoint, by what it knows,
 // gives no place.
-func (dk *Desk) HandleTake(_ context.Context, params json.RawMessage) (any, error) {
+func (dk *Desk) HandleTake(ctx context.Context, params json.RawMessage) (any, error) {
 	var ask Ask
 	if err := json.Unmarshal(params, &ask); err != nil {
 		return nil, errors.Wrap(err, "slot: take")
@@ -76,7 +84,7 @@
 	if _, isSelf := dk.owners.EndpointOwner(ask.Endpoint); !isSelf {
 		return Answer{Reason: NotOwner}, nil
 	}
-	return dk.table.Take(ask, dk.limits(ask.Endpoint)), nil
+	return dk.take(ctx, ask), nil
 }
 
 // HandleRelease takes a place back from another host.
@@ -88,3 +96,15 @@
 	dk.table.Release(rl, dk.limits(rl.Endpoint))
 	return struct{}{}, nil
 }
+
+func (dk *Desk) take(ctx context.Context, ask Ask) Answer {
+	var ans Answer
+	for range confirmTries {
+		ans = dk.table.Take(ask, dk.limits(ask.Endpoint))
+		if ans.Reason != Unconfirmed {
+			break
+		}
+		dk.confirm(ctx, ask.Endpoint)
+	}
+	return ans
+}
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -43,7 +43,8 @@
 		Resident int    `json:"m,omitempty"`
 		StartID  string `json:"i,omitempty"`
 		Version  string `json:"v,omitempty"`
-		IsCold   bool   `json:"c,omitempty"`
+		// IsCold reports whether the endpoint is in cold start.
+		IsCold bool `json:"c,omitempty"`
 	}
 
 	// Release gives a place back.
@@ -84,6 +85,8 @@
 	SuspectRunning
 	// NotOwner means that the asked host does not own the endpoint.
 	NotOwner
+	// Unconfirmed means that the owner has to see the endpoint again first.
+	Unconfirmed
 )
 
 // UseBy is how long after asking a place may be used.
@@ -91,7 +94,7 @@
 
 // String returns the name of the reason, in kebab case.
 func (rs Reason) String() string {
-	names := [...]string{"granted", "cold-full", "no-authority", "down", "leaving", "suspect-running", "not-owner"}
+	names := [...]string{"granted", "cold-full", "no-authority", "down", "leaving", "suspect-running", "not-owner", "unconfirmed"}
 	if rs < 0 || int(rs) >= len(names) {
 		return "unknown"
 	}
--- a/internal/slot/table.go
+++ b/internal/slot/table.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -38,6 +39,7 @@
 
 	state struct {
 		startID   string
+		past      []string
 		version   string
 		started   time.Time
 		isLeaving bool
@@ -47,10 +49,14 @@
 		// orphans is how many of them belong to places that an earlier owner gave.
 		orphans   int
 		isSettled bool
-		grants    map[string]grant
-		backlog   float64
-		drained   time.Time
-		memory    *memory
+		// confirmed is when the start identifier was last seen, and unconfirmed how many places
+		// were given since.
+		confirmed   time.Time
+		unconfirmed int
+		grants      map[string]grant
+		backlog     float64
+		drained     time.Time
+		memory      *memory
 	}
 
 	grant struct {
@@ -114,6 +120,7 @@
 		return ans
 	}
 	tb.serial++
+	st.unconfirmed++
 	ans.Grant = strconv.FormatUint(tb.serial, 36)
 	read := max(0, ask.Tokens-ans.Resident)
 	st.grants[ans.Grant] = grant{host: ask.Host, tokens: read, isSuspect: ask.IsSuspect, since: now}
@@ -177,6 +184,11 @@
 	if st.isCold(now, lm) {
 		return tb.judgeCold(st, ask, lm)
 	}
+	// An endpoint may turn cold without warning: until it is seen again, it gets no more than a
+	// cold one bears.
+	if st.unconfirmed >= max(lm.ColdLimit, 1) {
+		return Unconfirmed
+	}
 	if len(st.grants) >= st.rampLimit(now, lm) {
 		return ColdFull
 	}
@@ -209,20 +221,37 @@
 	return st
 }
 
-// seen takes in a start identifier; a new one empties the endpoint's memory and its places.
+// seen takes in a start identifier. A new one empties the endpoint's memory and takes back the
+// places that were given before the endpoint was last seen; later ones may run on the new start.
 func (tb *Table) seen(st *state, startID string, uptime time.Duration) bool {
+	if slices.Contains(st.past, startID) {
+		return false
+	}
+	now := tb.clk.Now()
+	before := st.confirmed
+	st.confirmed = now
 	if st.startID == startID {
+		st.unconfirmed = 0
 		return false
 	}
 	isRestart := st.startID != ""
+	if isRestart {
+		// News of an earlier start may arrive late.
+		st.past = append(st.past[max(0, len(st.past)-startsKept+1):], st.startID)
+	}
 	st.startID = startID
-	st.started = tb.clk.Now().Add(-uptime)
+	st.started = now.Add(-uptime)
 	if isRestart {
-		clear(st.grants)
+		for id, gr := range st.grants {
+			if gr.since.Before(before) {
+				delete(st.grants, id)
+			}
+		}
 		st.backlog = 0
 		st.orphans = 0
 		st.memory = newMemory()
 	}
+	st.unconfirmed = 0
 	return isRestart
 }
 
@@ -260,4 +289,7 @@
 	return false
 }
 
-const rampSteps = 4
+const (
+	rampSteps  = 4
+	startsKept = 16
+)
