routing: let tight classes go first on links

Cause: crew imports waited behind imports of drafts and behind exports, first come first served. Change: transfers go piece by piece in the order of the class's priority, exports last. The daemon needs an owner for each link that gives turns by priority.

--- a/programs/load/routing/policy.go
+++ b/programs/load/routing/policy.go
@@ -9,12 +9,19 @@
 )
 
 type (
-	roundRobin struct{ next int }
+	// firstCome is a policy without priorities on links.
+	firstCome struct{}
 
-	leastOutstanding struct{}
+	roundRobin struct {
+		firstCome
+		next int
+	}
+
+	leastOutstanding struct{ firstCome }
 
 	// boundedAffinity prefers the same workers for one history, with a bound on their load.
 	boundedAffinity struct {
+		firstCome
 		isImporting bool
 	}
 
@@ -35,6 +42,10 @@
 // loadBound is how far above the mean a worker's load may be.
 const loadBound = 1.25
 
+func (firstCome) linkPriority(class) int { return 0 }
+
+func (firstCome) exportPriority() int { return 0 }
+
 func (*roundRobin) name() string { return "round-robin" }
 
 func (*roundRobin) keeps() bool { return false }
@@ -107,6 +118,12 @@
 
 func (*bergamotway) keeps() bool { return true }
 
+// linkPriority lets a tight class go before a loose one.
+func (*bergamotway) linkPriority(cl class) int { return cl.priority }
+
+// exportPriority lets every import go before an export.
+func (*bergamotway) exportPriority() int { return 100 }
+
 func (bw *bergamotway) choose(sm *simulation, rq *request) decision {
 	workers := preferred(sm.ramped(rq), rq.history)
 	cl := sm.wl.classes[rq.class]
@@ -117,7 +134,7 @@
 		Target:        cl.target,
 	}
 	st := sm.storeOf(rq.history)
-	lk := route.Link{Rate: st.link.rate, Backlog: st.link.backlog(sm.now), Stored: min(rq.tokens, st.kept.get(sm.key(rq.history)))}
+	lk := route.Link{Rate: st.link.rate, Backlog: st.link.ahead(bw.linkPriority(cl)), Stored: min(rq.tokens, st.kept.get(sm.key(rq.history)))}
 	if st.isDead || st.zone == sm.zoneOut {
 		lk = route.Link{}
 	}
--- a/programs/load/routing/simulation.go
+++ b/programs/load/routing/simulation.go
@@ -63,6 +63,9 @@
 		choose(sm *simulation, rq *request) decision
 		// keeps reports whether finished histories are exported.
 		keeps() bool
+		// linkPriority and exportPriority order transfers on a link; a lower number goes first.
+		linkPriority(cl class) int
+		exportPriority() int
 	}
 )
 
@@ -152,7 +155,7 @@
 		name := fmt.Sprintf("store-%d", i+1)
 		sm.stores = append(sm.stores, &storeHost{
 			name: name, hash: rendezvous.Hash(name), zone: (i + sm.wl.storeZone) % sm.wl.zones, kept: newLRU(space),
-			link: &link{rate: linkRate, perSec: make(map[int]float64)},
+			link: &link{rate: linkRate, perSec: make(map[int]float64), pending: make(map[int]float64)},
 		})
 	}
 	if !sm.policy.keeps() {
@@ -260,11 +263,11 @@
 	resident := min(whole(rq.tokens), wk.memory.get(key))
 	wk.memory.touch(key)
 	imported := 0
-	ready := sm.now
+	// The question is read once both the import and the reading of the head have ended.
+	waiting := 1
 	if d.store != nil && d.importTokens > 0 && !d.store.isDead {
 		imported = min(d.importTokens, rq.tokens-resident)
 		d.store.kept.touch(key)
-		ready = d.store.link.send(sm.now, float64(imported)*bytesPerToken)
 	}
 	read := rq.tokens + rq.question - resident - imported
 	if arrived >= warmUp {
@@ -283,16 +286,27 @@
 	}
 	sm.serial++
 	finish := func(now float64) { sm.firstToken(rq, wk, cl, now, arrived) }
-	second := func(now float64) {
-		sm.after(max(0, ready-now), func() {
+	part := func(float64) {
+		if waiting--; waiting == 0 {
 			sm.enqueue(wk, &job{rq: rq, priority: cl.priority, serial: sm.serial, left: rest, done: finish, lost: lost})
+		}
+	}
+	if imported > 0 {
+		waiting++
+		epoch := wk.epoch
+		sm.send(d.store.link, sm.policy.linkPriority(cl), float64(imported)*bytesPerToken, func() {
+			if wk.epoch == epoch {
+				part(sm.now)
+			} else if first == 0 {
+				lost(sm.now)
+			}
 		})
 	}
 	if first > 0 {
-		sm.enqueue(wk, &job{rq: rq, priority: cl.priority, serial: sm.serial, left: first, done: second, lost: lost})
+		sm.enqueue(wk, &job{rq: rq, priority: cl.priority, serial: sm.serial, left: first, done: part, lost: lost})
 		return
 	}
-	second(sm.now)
+	part(sm.now)
 }
 
 func (sm *simulation) firstToken(rq *request, wk *worker, cl class, now, arrived float64) {
@@ -330,8 +344,7 @@
 	if missing <= 0 {
 		return
 	}
-	st.link.send(sm.now, float64(missing)*bytesPerToken)
-	st.kept.put(key, tokens)
+	sm.send(st.link, sm.policy.exportPriority(), float64(missing)*bytesPerToken, func() { st.kept.put(key, tokens) })
 }
 
 // lowerBound returns the time to first token of a request that is alone, on the best endpoint.
--- a/programs/load/routing/worker.go
+++ b/programs/load/routing/worker.go
@@ -11,7 +11,6 @@
 		name    string
 		hash    uint64
 		zone    int
-		version int
 		memory  *lru
 		queue   jobHeap
 		isBusy  bool
@@ -51,14 +50,26 @@
 		tokens int
 	}
 
-	// link carries one transfer after another at its rate.
+	// link carries pieces, one after another at its rate, by priority.
 	link struct {
-		rate   float64
-		freeAt float64
-		perSec map[int]float64
-		total  float64
+		rate    float64
+		queue   transferHeap
+		isBusy  bool
+		pending map[int]float64
+		perSec  map[int]float64
+		total   float64
+	}
+
+	// transfer is what is left of one import or export.
+	transfer struct {
+		priority int
+		serial   int
+		left     float64
+		done     func()
 	}
 
+	transferHeap []*transfer
+
 	// storeHost keeps histories behind a link.
 	storeHost struct {
 		name   string
@@ -226,19 +237,86 @@
 	return it
 }
 
-// send occupies the link and returns when the transfer ends.
-func (lk *link) send(now, bytes float64) float64 {
-	start := max(now, lk.freeAt)
-	lk.freeAt = start + bytes/lk.rate
+// Len returns how many transfers wait.
+func (th transferHeap) Len() int { return len(th) }
+
+// Less orders transfers by priority and then by arrival.
+func (th transferHeap) Less(i, j int) bool {
+	if th[i].priority != th[j].priority {
+		return th[i].priority < th[j].priority
+	}
+	return th[i].serial < th[j].serial
+}
+
+// Swap swaps two transfers.
+func (th transferHeap) Swap(i, j int) { th[i], th[j] = th[j], th[i] }
+
+// Push adds a transfer.
+func (th *transferHeap) Push(x any) {
+	if tr, ok := x.(*transfer); ok {
+		*th = append(*th, tr)
+	}
+}
+
+// Pop removes the last transfer.
+func (th *transferHeap) Pop() any {
+	old := *th
+	last := old[len(old)-1]
+	*th = old[:len(old)-1]
+	return last
+}
+
+// send queues a transfer; done is called at its end.
+func (sm *simulation) send(lk *link, priority int, bytes float64, done func()) {
+	sm.serial++
 	lk.total += bytes
-	for at := start; at < lk.freeAt; {
-		end := min(lk.freeAt, float64(int(at)+1))
+	lk.pending[priority] += bytes
+	heap.Push(&lk.queue, &transfer{priority: priority, serial: sm.serial, left: bytes, done: done})
+	if !lk.isBusy {
+		sm.carry(lk)
+	}
+}
+
+// carry carries the next piece.
+func (sm *simulation) carry(lk *link) {
+	if lk.queue.Len() == 0 {
+		lk.isBusy = false
+		return
+	}
+	lk.isBusy = true
+	tr := lk.queue[0]
+	bytes := min(tr.left, pieceTokens*bytesPerToken)
+	took := bytes / lk.rate
+	for at := sm.now; at < sm.now+took; {
+		end := min(sm.now+took, float64(int(at)+1))
 		lk.perSec[int(at)] += (end - at) * lk.rate
 		at = end
 	}
-	return lk.freeAt
+	sm.after(took, func() {
+		tr.left -= bytes
+		lk.pending[tr.priority] -= bytes
+		if tr.left <= 0 {
+			for i := range lk.queue {
+				if lk.queue[i] == tr {
+					heap.Remove(&lk.queue, i)
+					break
+				}
+			}
+			tr.done()
+		}
+		sm.carry(lk)
+	})
 }
 
-func (lk *link) backlog(now float64) float64 {
-	return max(0, lk.freeAt-now) * lk.rate
+// ahead returns how many bytes go before a new transfer of the priority.
+func (lk *link) ahead(priority int) float64 {
+	sum := 0.0
+	for p, bytes := range lk.pending {
+		if p <= priority {
+			sum += bytes
+		} else {
+			sum += min(bytes, pieceTokens*bytesPerToken) / 2
+		}
+	}
+	return sum
 }
--- a/programs/load/routing/workload.go
+++ b/programs/load/routing/workload.go
@@ -82,8 +82,6 @@
 	coldLimit = 2
 	// crashTime is how long an engine that fell over stays away, in seconds.
 	crashTime = 5.0
-	// loadTime is how long new weights take to load, in seconds.
-	loadTime = 2.0
 
 	medianTokens  = 14_000.0
 	sigmaTokens   = 0.7
