routing: measure reading hot histories ahead of a change of weights

Cause: a change of weights makes every kept history worthless; crew p95 goes to 1.7 s. Idea: the Nagano paper updates hot pages in place, by processors other than the serving ones, instead of invalidating them. Here: read the hottest histories for the new version on spare capacity after the swap (warm-after), or also on two workers before it (warm-early). The texts must be at hand to do it. The daemon does not do it yet: entry hosts keep no texts, and who keeps them is open.

--- a/programs/load/routing/command.go
+++ b/programs/load/routing/command.go
@@ -33,22 +33,24 @@
 	}
 }
 
-func policies() []policy {
-	return []policy{
-		newBergamotway(), &roundRobin{},
-		leastOutstanding{},
-		boundedAffinity{isImporting: true},
-		boundedAffinity{},
+func policies(ev event) []policy {
+	out := []policy{
+		newBergamotway(prewarmNone), &roundRobin{}, leastOutstanding{},
+		boundedAffinity{isImporting: true}, boundedAffinity{},
 	}
+	if ev == eventWeightsSwap {
+		out = append(out, newBergamotway(prewarmAfter), newBergamotway(prewarmEarly))
+	}
+	return out
 }
 
 func measure(out io.Writer, wl workload, ev event, trace []request, isSummary bool) error {
-	for i, po := range policies() {
+	for i, po := range policies(ev) {
 		st := simulate(wl, ev, po, slices.Clone(trace))
 		if isSummary {
-			_, err := fmt.Fprintf(out, "%-10s %-18s %-18s crew %.3f desk %.3f draft %.2f recomputed %.3f refused %.4f crashes %d bound %.3f\n", wl.name, ev, po.name(),
+			_, err := fmt.Fprintf(out, "%-10s %-18s %-18s crew %.3f desk %.3f draft %.2f recomputed %.3f refused %.4f crashes %d bound %.3f after-event %.3f warmed %.0f\n", wl.name, ev, po.name(),
 				p95(st.ttft["crew"]), p95(st.ttft["desk"]), p95(st.ttft["draft"]), st.recomputed/max(1, st.history),
-				float64(st.refused)/float64(st.requests), st.crashes, p95(st.bound["crew"]))
+				float64(st.refused)/float64(st.requests), st.crashes, p95(st.bound["crew"]), p95(st.afterEvent), st.warmed)
 			if err != nil {
 				return err
 			}
--- a/programs/load/routing/policy.go
+++ b/programs/load/routing/policy.go
@@ -28,7 +28,8 @@
 	// bergamotway is the daemon's decision: one estimate for each endpoint and way, taken from what
 	// this host knows, and then from the answer of the endpoint's owner.
 	bergamotway struct {
-		known map[int]map[*worker]knowledge
+		known   map[int]map[*worker]knowledge
+		warming prewarm
 	}
 
 	// knowledge is what one host has heard of a worker.
@@ -46,6 +47,8 @@
 
 func (firstCome) exportPriority() int { return 0 }
 
+func (firstCome) prewarm() prewarm { return prewarmNone }
+
 func (*roundRobin) name() string { return "round-robin" }
 
 func (*roundRobin) keeps() bool { return false }
@@ -110,11 +113,15 @@
 	return decision{}
 }
 
-func newBergamotway() *bergamotway {
-	return &bergamotway{known: make(map[int]map[*worker]knowledge)}
+func newBergamotway(warming prewarm) *bergamotway {
+	return &bergamotway{warming: warming, known: make(map[int]map[*worker]knowledge)}
+}
+
+func (bw *bergamotway) name() string {
+	return [...]string{"bergamotway", "bergamotway-warm-after", "bergamotway-warm-early"}[bw.warming]
 }
 
-func (*bergamotway) name() string { return "bergamotway" }
+func (bw *bergamotway) prewarm() prewarm { return bw.warming }
 
 func (*bergamotway) keeps() bool { return true }
 
--- a/programs/load/routing/simulation.go
+++ b/programs/load/routing/simulation.go
@@ -23,6 +23,9 @@
 		zoneIn  float64
 		version int
 		stats   stats
+		// lengths are the histories' last known lengths, warmed how many ranks have been warmed.
+		lengths map[int]int
+		warmed  int
 	}
 
 	timer struct {
@@ -45,6 +48,8 @@
 		crashes    int
 		wasted     float64
 		linkPeak   float64
+		warmed     float64
+		afterEvent []float64
 		lateBySec  map[int][2]int
 	}
 
@@ -58,6 +63,9 @@
 		refuse       bool
 	}
 
+	// prewarm says how hot histories are read for new weights.
+	prewarm int
+
 	policy interface {
 		name() string
 		choose(sm *simulation, rq *request) decision
@@ -65,10 +73,25 @@
 		keeps() bool
 		// linkPriority and exportPriority order transfers on a link; a lower number goes first.
 		linkPriority(cl class) int
+		// prewarm says whether hot histories are read for new weights before they return.
+		prewarm() prewarm
 		exportPriority() int
 	}
 )
 
+const (
+	// prewarmNone leaves each history to its first return.
+	prewarmNone prewarm = iota
+	// prewarmAfter reads hot histories after the swap, on spare capacity.
+	prewarmAfter
+	// prewarmEarly does so before the swap on a few workers, and after it on spare capacity.
+	prewarmEarly
+
+	earlyWorkers = 2
+	earlyTime    = 100.0
+	warmPriority = 50
+)
+
 // Len returns how many timers run.
 func (th timerHeap) Len() int { return len(th) }
 
@@ -150,6 +173,7 @@
 			total += rq.tokens
 		}
 	}
+	sm.lengths = first
 	space := int(storeShare * float64(total) / float64(sm.wl.stores))
 	for i := range sm.wl.stores {
 		name := fmt.Sprintf("store-%d", i+1)
@@ -214,15 +238,55 @@
 		})
 	case eventWeightsSwap:
 		at(eventAt, func() { sm.swapWeights() })
+		if sm.policy.prewarm() == prewarmEarly {
+			at(eventAt-earlyTime, func() { sm.swapEarly() })
+		}
 	case eventNone:
 	}
 }
 
-// swapWeights makes all kept and resident histories worthless at once, after the loads have ended.
+// swapWeights makes all kept and resident histories of the old version worthless.
 func (sm *simulation) swapWeights() {
 	sm.version++
 	for _, wk := range sm.workers {
 		wk.memory = newLRU(memoryTokens)
+		wk.isEarly = false
+	}
+	if sm.policy.prewarm() != prewarmNone {
+		for _, wk := range sm.workers {
+			sm.warmNext(wk, sm.version)
+		}
+	}
+}
+
+// swapEarly gives the new weights to a few workers before the others; they serve no request until
+// the swap, and read the hottest histories for the new version.
+func (sm *simulation) swapEarly() {
+	for _, wk := range sm.workers[:earlyWorkers] {
+		wk.isEarly = true
+		sm.warmNext(wk, sm.version+1)
+	}
+}
+
+// warmNext reads the hottest history that the new version lacks, behind all other work.
+func (sm *simulation) warmNext(wk *worker, version int) {
+	for sm.warmed < len(sm.wl.ranks) && sm.now < duration {
+		id := sm.wl.ranks[sm.warmed]
+		sm.warmed++
+		tokens := whole(sm.lengths[id])
+		key := id*1000 + version
+		st := sm.storeOf(id)
+		if tokens == 0 || st.kept.get(key) >= tokens {
+			continue
+		}
+		sm.serial++
+		next := func(float64) {
+			sm.stats.warmed += float64(tokens)
+			sm.send(st.link, sm.policy.exportPriority(), float64(tokens)*bytesPerToken, func() { st.kept.put(key, tokens) })
+			sm.warmNext(wk, version)
+		}
+		sm.enqueue(wk, &job{priority: warmPriority, serial: sm.serial, left: tokens, done: next, lost: func(float64) {}})
+		return
 	}
 }
 
@@ -230,7 +294,7 @@
 func (sm *simulation) eligible() []*worker {
 	var out []*worker
 	for _, wk := range sm.workers {
-		if wk.zone != sm.zoneOut && wk.upAt <= sm.now {
+		if wk.zone != sm.zoneOut && wk.upAt <= sm.now && !wk.isEarly {
 			out = append(out, wk)
 		}
 	}
@@ -313,6 +377,9 @@
 	took := now - arrived
 	if arrived >= warmUp {
 		sm.stats.ttft[cl.name] = append(sm.stats.ttft[cl.name], took)
+		if cl.name == "crew" && arrived >= eventAt && arrived < eventEnd {
+			sm.stats.afterEvent = append(sm.stats.afterEvent, took)
+		}
 		late := sm.stats.lateBySec[int(arrived)]
 		late[1]++
 		if took > 2*cl.target {
--- a/programs/load/routing/worker.go
+++ b/programs/load/routing/worker.go
@@ -22,6 +22,7 @@
 		coldUntil float64
 		epoch     int
 		crashes   int
+		isEarly   bool
 	}
 
 	// job is a request at a worker.
@@ -124,7 +125,15 @@
 	return sum
 }
 
-func (wk *worker) outstanding() int { return wk.running + wk.queue.Len() }
+func (wk *worker) outstanding() int {
+	n := wk.running
+	for _, jb := range wk.queue {
+		if jb.rq != nil {
+			n++
+		}
+	}
+	return n
+}
 
 func (wk *worker) rate() float64 {
 	return prefillRate / (1 + decodeLoad*float64(wk.running))
