link: give turns on links by priority over all hosts

Also: the daemon ordered the import of a tail and then opened the run, which an engine cannot use; an engine now reads piece by piece and skips what has arrived, so import and reading race. Change: the owner of a link gives turns of two pieces by priority; split plans only for models whose engines read while importing (can-split).

--- a/internal/configuration/document.go
+++ b/internal/configuration/document.go
@@ -56,6 +56,8 @@
 		ColdTime settings.Duration `json:"cold-time,omitempty" min:"0s" max:"1h"`
 		// PrefillRate is the speed of reading a history, in tokens/s; zero means 8000.
 		PrefillRate float64 `json:"prefill-rate,omitempty" min:"0" max:"1000000000"`
+		// CanSplit says that its engines read the head of a history while its tail is imported.
+		CanSplit bool `json:"can-split,omitempty"`
 		// Shares moves the model between providers; empty means all providers alike.
 		Shares []Share `json:"shares,omitempty"`
 		// EarlierShares are the shares before the last shift, for the way back.
--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	di.bring(ctx, &pl)
+	di.bring(ctx, an.job, &pl)
 	for pl.isCold && di.Clock.Now().After(pl.useBy) {
 		di.giveBack(ctx, pl)
 		if pl, err = di.choose(ctx, an.job, an.text, an.version, an.tried); err != nil {
@@ -275,10 +275,11 @@
 	if st.StartID() != "" {
 		an.place.start = st.StartID()
 	}
-	if an.attempt > 1 && an.tokens > 0 {
-		return
-	}
 	an.cached = min(st.CachedTokens(), an.place.tokens)
+}
+
+// countSources counts where the tokens of the history came from, once the endpoint has said so.
+func (an *Answer) countSources() {
 	imported := min(an.place.plan.Import, an.cached)
 	read := an.place.tokens - an.cached
 	an.di.learnHit(an.cached-imported, an.place.tokens)
@@ -290,6 +291,7 @@
 
 func (an *Answer) count(tok engine.Token) {
 	if tok.Finish != "" {
+		an.cached = max(an.cached, min(tok.Cached, an.place.tokens))
 		return
 	}
 	an.tokens++
@@ -300,6 +302,7 @@
 	an.isEnded = true
 	an.isWhole = true
 	_ = an.stream.Close()
+	an.countSources()
 	an.leave(ctx, an.place.tokens)
 	an.di.keep(an.place)
 }
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -179,6 +179,7 @@
 		BytesPerToken: BytesPerToken,
 		Target:        job.Class.FirstToken.Of().Seconds(),
 		CostTarget:    job.Class.CostTarget,
+		CanSplit:      job.Model.CanSplit,
 	}
 }
 
@@ -274,7 +275,7 @@
 	for _, sh := range hosts[:min(copies+1, len(hosts))] {
 		pieces, err := di.Stores.Lookup(ctx, sh.Address, names)
 		if err != nil {
-			di.links.end(sh.Name, sh.Link(), 0, 0, 0, err)
+			di.links.failed(sh.Name)
 			continue
 		}
 		if len(pieces) > 0 {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,6 +16,7 @@
 	"github.com/bergamotway/bergamotway/internal/configuration"
 	"github.com/bergamotway/bergamotway/internal/endpoint"
 	"github.com/bergamotway/bergamotway/internal/engine"
+	"github.com/bergamotway/bergamotway/internal/link"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/slot"
@@ -51,6 +52,11 @@
 		Release(ctx context.Context, rl slot.Release)
 	}
 
+	// Turns gives turns on the links of store hosts.
+	Turns interface {
+		Wait(ctx context.Context, ask link.Ask) (link.Answer, error)
+	}
+
 	// Announcer spreads news of crashes and returns when its neighbours have it.
 	Announcer interface {
 		AnnounceCrash(ctx context.Context, id string, fps []quarantine.Fingerprint)
@@ -74,6 +80,7 @@
 		Engines   Engines
 		Stores    Stores
 		Slots     Slots
+		Turns     Turns
 		Registry  *endpoint.Registry
 		Board     *quarantine.Board
 		Budget    *retry.Budget
--- a/internal/dispatch/link.go
+++ b/internal/dispatch/link.go
@@ -9,7 +9,7 @@
 )
 
 type (
-	// links keeps this host's estimate of the links of store hosts.
+	// links keeps what this host knows of the links of store hosts.
 	links struct {
 		clk clock.Clock
 
@@ -20,15 +20,16 @@
 	}
 
 	linkState struct {
-		rate    float64
-		backlog float64
-		failed  time.Time
+		rate   float64
+		ahead  float64
+		heard  time.Time
+		failed time.Time
+		// seen is the rate of the last transfer, until an owner was told of it.
+		seen float64
 	}
 )
 
 const (
-	// linkWeight is the weight of a new measurement of a link's rate.
-	linkWeight = 0.3
 	// linkRecovery is after how long a link that failed is tried again.
 	linkRecovery = 2 * time.Second
 	// minMeasured is the shortest transfer that tells something of a rate.
@@ -39,46 +40,59 @@
 	return &links{clk: clk, byName: make(map[string]*linkState)}
 }
 
-// state returns the rate and the backlog of a link; a link that failed has rate zero.
-func (ls *links) state(name string, budget float64) (rate, backlog float64) {
+// state returns the rate of a link, and the bytes ahead of a new transfer by the owner's last
+// word; a link that failed has rate zero.
+func (ls *links) state(name string, budget float64) (rate, ahead float64) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	st := ls.get(name, budget)
-	if ls.clk.Now().Sub(st.failed) < linkRecovery {
+	st := ls.get(name)
+	now := ls.clk.Now()
+	if now.Sub(st.failed) < linkRecovery {
 		return 0, 0
 	}
-	return st.rate, st.backlog
+	if st.rate == 0 {
+		return budget, 0
+	}
+	return st.rate, max(0, st.ahead-now.Sub(st.heard).Seconds()*st.rate)
 }
 
-func (ls *links) begin(name string, budget, bytes float64) {
+// answered takes in the word of a link's owner.
+func (ls *links) answered(name string, rate, ahead float64) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	ls.get(name, budget).backlog += bytes
+	st := ls.get(name)
+	st.rate, st.ahead, st.heard = rate, ahead, ls.clk.Now()
 }
 
-// end takes in what a transfer showed of the link.
-func (ls *links) end(name string, budget, planned float64, moved int64, took time.Duration, err error) {
+// moved takes in what a transfer showed of a link.
+func (ls *links) moved(name string, bytes int64, took time.Duration, err error) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	st := ls.get(name, budget)
-	st.backlog = max(0, st.backlog-planned)
+	st := ls.get(name)
 	if err != nil {
 		st.failed = ls.clk.Now()
 		return
 	}
-	if moved > 0 && took > minMeasured {
-		seen := min(budget, float64(moved)/took.Seconds())
-		st.rate += linkWeight * (seen - st.rate)
+	if bytes > 0 && took > minMeasured {
+		st.seen = float64(bytes) / took.Seconds()
 	}
 }
 
-func (ls *links) get(name string, budget float64) *linkState {
-	st := ls.byName[name]
-	if st == nil {
-		st = &linkState{rate: budget}
-		ls.byName[name] = st
-	}
-	return st
+// failed notes that a store host gave no answer.
+func (ls *links) failed(name string) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	ls.get(name).failed = ls.clk.Now()
+}
+
+// seen returns the rate that the owner has not been told of yet.
+func (ls *links) seen(name string) float64 {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	st := ls.get(name)
+	seen := st.seen
+	st.seen = 0
+	return seen
 }
 
 // tryExport counts an export, unless exportsAtOnce are under way.
@@ -91,3 +105,12 @@
 }
 
 func (ls *links) exportDone() { ls.exports.Add(-1) }
+
+func (ls *links) get(name string) *linkState {
+	st := ls.byName[name]
+	if st == nil {
+		st = &linkState{}
+		ls.byName[name] = st
+	}
+	return st
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -58,6 +58,8 @@
 		Sequence int
 		// Finish is the reason why the answer ended, empty before its end.
 		Finish string
+		// Cached is how many tokens of the prompt were not read, known with Finish.
+		Cached int
 	}
 
 	// Load is what an engine reports of itself. It lags.
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -28,6 +28,13 @@
 		ID       string       `json:"id"`
 		Sequence int          `json:"seq"`
 		Choices  []chatChoice `json:"choices"`
+		Usage    chatUsage    `json:"usage"`
+	}
+
+	chatUsage struct {
+		Details struct {
+			Cached int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
 	}
 
 	chatChoice struct {
@@ -127,7 +134,7 @@
 	if ev.ID != st.run.ID {
 		return Token{}, NewCrossedError(st.run.ID, ev.ID)
 	}
-	tok := Token{Sequence: ev.Sequence}
+	tok := Token{Sequence: ev.Sequence, Cached: ev.Usage.Details.Cached}
 	if len(ev.Choices) > 0 {
 		tok.Text = ev.Choices[0].Delta.Content
 		if ev.Choices[0].Finish != nil {
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -20,6 +20,7 @@
 	"github.com/bergamotway/bergamotway/internal/configuration"
 	"github.com/bergamotway/bergamotway/internal/endpoint"
 	"github.com/bergamotway/bergamotway/internal/lease"
+	"github.com/bergamotway/bergamotway/internal/link"
 	"github.com/bergamotway/bergamotway/internal/lock"
 	"github.com/bergamotway/bergamotway/internal/logs"
 	"github.com/bergamotway/bergamotway/internal/membership"
@@ -95,6 +96,7 @@
 		Board    *quarantine.Board
 		Ledger   *booking.Ledger
 		Bookings *booking.Router
+		Turns    *link.Desk
 
 		log       logrus.FieldLogger
 		pulled    atomic.Int64
@@ -142,6 +144,7 @@
 	co.Board = quarantine.NewBoard(parts.Clock)
 	co.Ledger = booking.NewLedger(store, booking.Options{Clock: parts.Clock})
 	co.Bookings = booking.NewRouter(co.Ledger, co, parts.Caller)
+	co.Turns = link.NewDesk(parts.Clock, link.NewTable(parts.Clock, co.linkBudget), co, parts.Caller)
 	co.Table.OnFact(co.hear)
 	co.Table.OnChange(co.membersChanged)
 	co.listed.Store(&[]platform.ListedHost{})
@@ -155,6 +158,7 @@
 	sv.Register(slot.MethodTake, co.Desk.HandleTake)
 	sv.Register(slot.MethodRelease, co.Desk.HandleRelease)
 	sv.Register(methodConfiguration, co.handleSince)
+	sv.Register(link.MethodTurn, co.Turns.HandleTurn)
 	for method, h := range co.Bookings.Handlers() {
 		sv.Register(method, h)
 	}
@@ -429,6 +433,15 @@
 	return slot.Limits{ColdLimit: m.ColdLimit, ColdTime: m.ColdTime.Of(), PrefillRate: m.PrefillRate}
 }
 
+func (co *Control) linkBudget(store string) float64 {
+	for _, sh := range co.Keeper.Snapshot().StoreHosts() {
+		if sh.Name == store {
+			return sh.Link()
+		}
+	}
+	return configuration.StoreHost{}.Link()
+}
+
 func (co *Control) zoneOf(name string) string {
 	ep, _ := co.Keeper.Snapshot().Endpoint(name)
 	return ep.Zone
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -130,6 +130,7 @@
 		Engines:   engines{client},
 		Stores:    store.NewClient(dialer),
 		Slots:     ho.control.Desk,
+		Turns:     ho.control.Turns,
 		Registry:  ho.control.Registry,
 		Board:     ho.control.Board,
 		Budget:    budget,
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -44,6 +44,8 @@
 		BytesPerToken float64
 		// Target is the class's target for the time to first token.
 		Target float64
+		// CanSplit says that the endpoint reads the head of a history while its tail is imported.
+		CanSplit bool
 		// CostTarget is the class's target for cost, in accelerator seconds; zero is none.
 		CostTarget float64
 	}
@@ -118,11 +120,15 @@
 	rest := wk.Tokens - resident - available
 	perToken := wk.BytesPerToken / ep.Link.Rate
 	linkWait := ep.Link.Backlog / ep.Link.Rate
-	for _, head := range [...]int{0, splitHead(wait, rate, linkWait, perToken, available, wk.PieceTokens)} {
-		pl := importPlan(wait, rate, linkWait, perToken, head, available-head, rest)
-		if pl.FirstToken < best.FirstToken {
-			best = pl
-		}
+	if pl := importPlan(wait, rate, linkWait, perToken, 0, available, rest); pl.FirstToken < best.FirstToken {
+		best = pl
+	}
+	if !wk.CanSplit {
+		return best, true
+	}
+	head := splitHead(wait, rate, linkWait, perToken, available, wk.PieceTokens)
+	if pl := importPlan(wait, rate, linkWait, perToken, head, available-head, rest); pl.FirstToken < best.FirstToken {
+		best = pl
 	}
 	return best, true
 }
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -267,6 +267,7 @@
 		Engines:   &nodeEngines{nd: nd},
 		Stores:    &nodeStores{nd: nd},
 		Slots:     nd.control.Desk,
+		Turns:     nd.control.Turns,
 		Registry:  nd.control.Registry,
 		Board:     nd.control.Board,
 		Budget:    budget,
--- a/internal/standin/modelengine/server.go
+++ b/internal/standin/modelengine/server.go
@@ -37,6 +37,7 @@
 		names  []string
 		total  int
 		next   int
+		cached int
 		cancel context.CancelFunc
 	}
 
@@ -44,6 +45,16 @@
 		ID       string       `json:"id"`
 		Sequence int          `json:"seq"`
 		Choices  []chatChoice `json:"choices"`
+		Usage    *chatUsage   `json:"usage,omitempty"`
+	}
+
+	chatUsage struct {
+		PromptTokens int         `json:"prompt_tokens"`
+		Details      chatDetails `json:"prompt_tokens_details"`
+	}
+
+	chatDetails struct {
+		CachedTokens int `json:"cached_tokens"`
 	}
 
 	chatChoice struct {
@@ -125,8 +136,6 @@
 	}
 	en.mu.Lock()
 	cached := en.memory.prefix(rn.names) * history.PieceTokens
-	read := max(0, history.Tokens(text)-cached)
-	en.stats.ReadTokens += read
 	en.mu.Unlock()
 	fc.Response.Header.Set(engine.HeaderStartID, startID)
 	fc.Response.Header.Set(engine.HeaderVersion, version)
@@ -136,20 +145,19 @@
 	fc.SetBodyStreamWriter(func(bw *bufio.Writer) {
 		defer en.end(rn.id)
 		defer cancel()
-		if !rn.write(ctx, bw, version, read, cr.Priority) {
+		if !rn.write(ctx, bw, version, cr.Priority) {
 			_ = conn.Close()
 		}
 	})
 }
 
 // write sends the answer and reports whether it was sent whole.
-func (rn *run) write(ctx context.Context, bw *bufio.Writer, version string, read, priority int) bool {
+func (rn *run) write(ctx context.Context, bw *bufio.Writer, version string, priority int) bool {
 	en := rn.en
 	// The header goes out before the prompt is read, so that the caller learns the start identifier.
-	if bw.Flush() != nil || en.queue.read(ctx, read, priority) != nil {
+	if bw.Flush() != nil || rn.read(ctx, priority) != nil {
 		return false
 	}
-	en.remember(rn.names)
 	set := en.faults.Now()
 	for sent := 0; rn.next < rn.total; sent++ {
 		switch {
@@ -179,16 +187,46 @@
 	return err == nil && bw.Flush() == nil
 }
 
+// read reads the prompt piece by piece. A piece that is in memory by then, perhaps because it was
+// imported meanwhile, is not read.
+func (rn *run) read(ctx context.Context, priority int) error {
+	en := rn.en
+	for _, name := range rn.names {
+		if en.has(name) {
+			rn.cached += history.PieceTokens
+			continue
+		}
+		if err := en.queue.read(ctx, history.PieceTokens, priority); err != nil {
+			return err
+		}
+		en.remember([]string{name})
+		en.count(func(st *Stats) { st.ReadTokens += history.PieceTokens })
+	}
+	rest := history.Tokens(rn.text) - len(rn.names)*history.PieceTokens
+	en.count(func(st *Stats) { st.ReadTokens += rest })
+	return en.queue.read(ctx, rest, priority)
+}
+
+func (en *Engine) has(name string) bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.memory.prefix([]string{name}) == 1
+}
+
 func (rn *run) event(bw *bufio.Writer, text string, finish *string, isCrossed bool) error {
 	id := rn.id
 	if isCrossed {
 		id = "another-run"
 	}
-	data, err := json.Marshal(chatEvent{
+	ev := chatEvent{
 		ID:       id,
 		Sequence: rn.next,
 		Choices:  []chatChoice{{Delta: chatDelta{Content: text}, Finish: finish}},
-	})
+	}
+	if finish != nil {
+		ev.Usage = &chatUsage{PromptTokens: history.Tokens(rn.text), Details: chatDetails{CachedTokens: rn.cached}}
+	}
+	data, err := json.Marshal(ev)
 	if err != nil {
 		return err
 	}
--- a/programs/load/demo/demo.go
+++ b/programs/load/demo/demo.go
@@ -148,7 +148,7 @@
 	return map[string]any{
 		"availability-zones": []map[string]any{{"name": "mid-a"}},
 		"models": []map[string]any{{
-			"name": "assistant", "version": "v1", "prefill-rate": 40000, "cold-time": "100ms",
+			"name": "assistant", "version": "v1", "prefill-rate": 40000, "cold-time": "100ms", "can-split": true,
 		}},
 		"classes": []map[string]any{
 			{"name": "crew", "model": "assistant", "first-token": "550ms"},
--- a/programs/load/routing/command.go
+++ b/programs/load/routing/command.go
@@ -35,8 +35,10 @@
 
 func policies(ev event) []policy {
 	out := []policy{
-		newBergamotway(prewarmNone), &roundRobin{}, leastOutstanding{},
-		boundedAffinity{isImporting: true}, boundedAffinity{},
+		newBergamotway(prewarmNone), &roundRobin{},
+		leastOutstanding{},
+		boundedAffinity{isImporting: true},
+		boundedAffinity{},
 	}
 	if ev == eventWeightsSwap {
 		out = append(out, newBergamotway(prewarmAfter), newBergamotway(prewarmEarly))
--- a/programs/load/routing/policy.go
+++ b/programs/load/routing/policy.go
@@ -139,6 +139,7 @@
 		PieceTokens:   pieceTokens,
 		BytesPerToken: bytesPerToken,
 		Target:        cl.target,
+		CanSplit:      true,
 	}
 	st := sm.storeOf(rq.history)
 	lk := route.Link{Rate: st.link.rate, Backlog: st.link.ahead(bw.linkPriority(cl)), Stored: min(rq.tokens, st.kept.get(sm.key(rq.history)))}
@@ -155,7 +156,7 @@
 			return decision{}
 		}
 		wk := workers[plan.Endpoint]
-		if wk.coldUntil > sm.now && wk.outstanding() >= coldLimit {
+		if wk.coldUntil > sm.now && wk.placed >= coldLimit {
 			// The owner of a cold endpoint gives no place above its limit.
 			eps[plan.Endpoint].PrefillRate = 0
 			continue
@@ -184,7 +185,7 @@
 		return decision{}, false
 	}
 	wk := workers[plan.Endpoint]
-	if wk.coldUntil > sm.now && wk.outstanding() >= coldLimit {
+	if wk.coldUntil > sm.now && wk.placed >= coldLimit {
 		return decision{}, false
 	}
 	exact, ok := route.Estimate(bw.ask(sm, rq, wk, lk), work)
--- a/programs/load/routing/simulation.go
+++ b/programs/load/routing/simulation.go
@@ -322,6 +322,7 @@
 
 func (sm *simulation) dispatch(rq *request, d decision, arrived float64, tries int) {
 	wk := d.worker
+	wk.placed++
 	cl := sm.wl.classes[rq.class]
 	key := sm.key(rq.history)
 	resident := min(whole(rq.tokens), wk.memory.get(key))
@@ -396,6 +397,7 @@
 			return
 		}
 		wk.running--
+		wk.placed--
 		wk.memory.put(key, whole(rq.tokens+rq.question+rq.answer))
 		sm.export(rq, key)
 	})
--- a/programs/load/routing/worker.go
+++ b/programs/load/routing/worker.go
@@ -23,6 +23,8 @@
 		epoch     int
 		crashes   int
 		isEarly   bool
+		// placed is how many runs its owner has given a place to.
+		placed int
 	}
 
 	// job is a request at a worker.
@@ -143,7 +145,7 @@
 func (sm *simulation) enqueue(wk *worker, jb *job) {
 	jb.epoch = wk.epoch
 	wk.backlog[jb.priority] += float64(jb.left)
-	if wk.coldUntil > sm.now && wk.outstanding() >= coldLimit {
+	if wk.coldUntil > sm.now && jb.rq != nil && wk.outstanding() >= coldLimit {
 		sm.crash(wk)
 		jb.lost(sm.now)
 		return
@@ -195,6 +197,7 @@
 	wk.epoch++
 	wk.isBusy = false
 	wk.running = 0
+	wk.placed = 0
 	wk.backlog = make(map[int]float64)
 	wk.memory = newLRU(memoryTokens)
 	wk.upAt = sm.now + away
