membership: stay inside 5 KB/s and settle at 320 hosts

Cause: load control showed 7639 B/s a host at 24 hosts (4690 at 6), and 320 hosts had not settled after 60 s. Places carried fields that the owner does not use and an answer to each release; records learned from a whole table were sent on 27 times each. Change: short names, releases without an answer, whole tables are not sent on, unequal tables are counted over all neighbours.

--- a/internal/dispatch/answer.go
+++ b/internal/dispatch/answer.go
@@ -319,7 +319,7 @@
 	an.di.Slots.Release(ctx, slot.Release{
 		Endpoint: an.place.view.Name,
 		Grant:    an.place.grant,
-		Root:     root,
+		Root:     slot.ShortRoot(root),
 		Resident: resident,
 		StartID:  an.place.start,
 	})
--- a/internal/dispatch/choice.go
+++ b/internal/dispatch/choice.go
@@ -188,12 +188,11 @@
 func (di *Dispatcher) take(ctx context.Context, job Job, root string, pl *place) bool {
 	asked := di.Clock.Now()
 	ans, err := di.Slots.Take(ctx, slot.Ask{
-		Endpoint:    pl.view.Name,
-		Host:        di.Host,
-		Root:        root,
-		Tokens:      pl.tokens,
-		Fingerprint: job.Fingerprint,
-		IsSuspect:   di.Board.Standing(job.Fingerprint) == quarantine.Suspected,
+		Endpoint:  pl.view.Name,
+		Host:      di.Host,
+		Root:      slot.ShortRoot(root),
+		Tokens:    pl.tokens,
+		IsSuspect: di.Board.Standing(job.Fingerprint) == quarantine.Suspected,
 	})
 	pl.useBy = asked.Add(slot.UseBy)
 	if err != nil || ans.Reason == slot.NotOwner {
--- a/internal/membership/gossiper.go
+++ b/internal/membership/gossiper.go
@@ -64,7 +64,7 @@
 
 		mu       sync.Mutex
 		stranger time.Time
-		unequal  map[string]int
+		unequal  int
 	}
 
 	neighbours struct {
@@ -73,8 +73,10 @@
 	}
 
 	message struct {
+		// From is the sender: its name and incarnation; the rest of its record is in Members when
+		// the receiver may not know it.
 		From     Member   `json:"f"`
-		Hash     uint64   `json:"h"`
+		Hash     uint32   `json:"h"`
 		Revision uint64   `json:"r"`
 		Members  []Member `json:"m,omitempty"`
 		Facts    []Fact   `json:"x,omitempty"`
@@ -98,7 +100,7 @@
 	if opts.Rand == nil {
 		opts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	return &Gossiper{opts: opts, table: table, unequal: make(map[string]int)}
+	return &Gossiper{opts: opts, table: table}
 }
 
 // LastHeard returns when a peer was last heard; the zero time means never.
@@ -208,11 +210,11 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply message
-	if err := gs.opts.Caller.Call(ctx, address, MethodGossip, gs.compose(gs.isFullDue(address)), &reply); err != nil {
+	if err := gs.opts.Caller.Call(ctx, address, MethodGossip, gs.compose(gs.isFullDue()), &reply); err != nil {
 		return err
 	}
 	gs.take(ctx, reply)
-	gs.compare(address, reply.Hash)
+	gs.compare(reply.Hash)
 	return nil
 }
 
@@ -222,42 +224,54 @@
 	if isFull {
 		msg.Members = gs.table.Members()
 	}
-	msg.Hash = gs.table.Hash()
+	msg.From = Member{Name: msg.From.Name, Incarnation: msg.From.Incarnation, State: msg.From.State}
+	msg.Hash = uint32(gs.table.Hash())
 	return msg
 }
 
 func (gs *Gossiper) take(ctx context.Context, msg message) {
 	gs.heard.Store(gs.opts.Clock.Now().UnixNano())
-	isNew := gs.table.Merge(append(msg.Members, msg.From), msg.Facts)
+	// A sender in short form counts only if its record is known.
+	if m, ok := gs.table.Get(msg.From.Name); ok {
+		m.Incarnation, m.State = msg.From.Incarnation, msg.From.State
+		msg.Members = append(msg.Members, m)
+	}
+	merge := gs.table.Merge
+	if msg.Full {
+		merge = gs.table.MergeAll
+	}
+	isNew := merge(msg.Members, msg.Facts)
 	if isNew && len(msg.Facts) > 0 {
 		go gs.Flood(context.WithoutCancel(ctx))
 	}
 	if msg.Revision > gs.opts.Revision() && gs.opts.Newer != nil {
-		gs.opts.Newer(context.WithoutCancel(ctx), msg.From.Address)
+		if m, ok := gs.table.Get(msg.From.Name); ok {
+			gs.opts.Newer(context.WithoutCancel(ctx), m.Address)
+		}
 	}
 }
 
-// compare counts the exchanges that left the two tables unequal.
-func (gs *Gossiper) compare(address string, hash uint64) {
+// compare counts the exchanges in a row that left the two tables unequal.
+func (gs *Gossiper) compare(hash uint32) {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
-	if hash == gs.table.Hash() {
-		delete(gs.unequal, address)
+	if hash == uint32(gs.table.Hash()) {
+		gs.unequal = 0
 		return
 	}
-	gs.unequal[address]++
+	gs.unequal++
 }
 
-func (gs *Gossiper) isFullDue(address string) bool {
+func (gs *Gossiper) isFullDue() bool {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
 	if gs.table.Len() == 1 {
 		return true
 	}
-	if gs.unequal[address] < unequalRounds {
+	if gs.unequal < unequalRounds {
 		return false
 	}
-	delete(gs.unequal, address)
+	gs.unequal = 0
 	return true
 }
 
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -20,8 +20,8 @@
 	// Member is one entry host. A higher incarnation wins over a lower one.
 	Member struct {
 		Name        string `json:"n"`
-		Address     string `json:"a"`
-		Zone        string `json:"z"`
+		Address     string `json:"a,omitempty"`
+		Zone        string `json:"z,omitempty"`
 		Incarnation uint64 `json:"i"`
 		State       State  `json:"s,omitempty"`
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"maps"
 	"math/bits"
 	"sync"
 	"sync/atomic"
@@ -16,8 +17,8 @@
 	deadRetention = 10 * time.Minute
 	// factRetention is how long a fact is remembered, so that it is not spread twice.
 	factRetention = 10 * time.Minute
-	// sendFactor times log2 of the fleet is how often an update is sent on.
-	sendFactor = 3
+	// extraSends is how often an update is sent on, above log2 of the fleet.
+	extraSends = 2
 )
 
 type (
@@ -92,6 +93,14 @@
 	return out
 }
 
+// Get returns the record of a host.
+func (tb *Table) Get(name string) (Member, bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	rec, ok := tb.members[name]
+	return rec.member, ok
+}
+
 // Len returns how many hosts are known, live or not.
 func (tb *Table) Len() int {
 	tb.mu.Lock()
@@ -117,6 +126,23 @@
 	return tb.hash
 }
 
+// MergeAll takes in all records of another host. They are not sent on: a host that lacks them
+// sees that its hash differs.
+func (tb *Table) MergeAll(ms []Member, fs []Fact) bool {
+	tb.mu.Lock()
+	before := maps.Clone(tb.spread.members)
+	tb.mu.Unlock()
+	isNew := tb.Merge(ms, fs)
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, m := range ms {
+		if _, ok := before[m.Name]; !ok && m.Name != tb.self {
+			delete(tb.spread.members, m.Name)
+		}
+	}
+	return isNew
+}
+
 // Merge takes in records and facts and reports whether anything was new.
 func (tb *Table) Merge(ms []Member, fs []Fact) bool {
 	tb.mu.Lock()
@@ -200,7 +226,7 @@
 func (tb *Table) Pending(limit int) ([]Member, []Fact) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
-	rounds := sendFactor * (1 + bits.Len(uint(len(tb.members))))
+	rounds := extraSends + bits.Len(uint(len(tb.members)))
 	var ms []Member
 	for _, name := range leastSent(tb.spread.members, limit) {
 		ms = append(ms, tb.members[name].member)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"log"
 	"net"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -18,6 +20,8 @@
 	// Caller calls methods of other hosts.
 	Caller interface {
 		Call(ctx context.Context, address, method string, params, result any) error
+		// Notify calls a method whose answer does not matter.
+		Notify(ctx context.Context, address, method string, params any) error
 	}
 
 	// Meter counts the bytes of control traffic. It must be safe for concurrent use.
@@ -83,6 +87,9 @@
 	return &countedConn{Conn: conn, meter: meter}
 }
 
+// quiet drops the log of the library: every failure of a call reaches its caller.
+func quiet() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) }
+
 func newStream(conn net.Conn) jsonrpc2.ObjectStream {
 	return jsonrpc2.NewPlainObjectStream(conn)
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// Notify calls a method of the host at address without waiting for an answer. It returns an
+// *UnreachableError if the call could not be sent.
+func (po *Pool) Notify(ctx context.Context, address, method string, params any) error {
+	ctx, cancel := context.WithTimeout(ctx, CallTimeout)
+	defer cancel()
+	jc, err := po.connect(ctx, address)
+	if err != nil {
+		return NewUnreachableError(address, err)
+	}
+	if err = jc.Notify(ctx, method, params); err != nil {
+		po.drop(address, jc)
+		return NewUnreachableError(address, err)
+	}
+	return nil
+}
+
 // Connected returns how many connections are open.
 func (po *Pool) Connected() int {
 	po.mu.Lock()
@@ -109,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	pc.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(conn), ignoreHandler{})
+	pc.conn = jsonrpc2.NewConn(context.WithoutCancel(ctx), newStream(conn), ignoreHandler{}, quiet())
 	return pc.conn, nil
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -65,7 +65,7 @@
 		conn = tls.Server(conn, sv.tls)
 	}
 	handler := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(sv.handle))
-	jc := jsonrpc2.NewConn(ctx, newStream(conn), handler)
+	jc := jsonrpc2.NewConn(ctx, newStream(conn), handler, quiet())
 	sv.mu.Lock()
 	sv.conns[jc] = struct{}{}
 	sv.mu.Unlock()
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -333,6 +333,11 @@
 	return json.Unmarshal(data, result)
 }
 
+// Notify calls a method of another host; the answer does not matter.
+func (nc *nodeCaller) Notify(ctx context.Context, address, method string, params any) error {
+	return nc.Call(ctx, address, method, params, nil)
+}
+
 func (w *world) at(address string) *node {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/slot/desk.go
+++ b/internal/slot/desk.go
@@ -15,9 +15,10 @@
 )
 
 type (
-	// Caller calls a method of the host at an address.
+	// Caller calls a method of the host at an address, or tells it something without an answer.
 	Caller interface {
 		Call(ctx context.Context, address, method string, params, result any) error
+		Notify(ctx context.Context, address, method string, params any) error
 	}
 
 	// Owners finds the host that owns an endpoint. isSelf means this host.
@@ -71,7 +72,7 @@
 		dk.table.Release(rl, dk.limits(rl.Endpoint))
 		return
 	}
-	_ = dk.caller.Call(ctx, address, MethodRelease, rl, nil)
+	_ = dk.caller.Notify(ctx, address, MethodRelease, rl)
 }
 
 // HandleTake answers another host. A host that does not own the endpoint, by what it knows,
--- a/internal/slot/slot.go
+++ b/internal/slot/slot.go
@@ -6,11 +6,7 @@
 // any other it is advice.
 package slot
 
-import (
-	"time"
-
-	"github.com/bergamotway/bergamotway/internal/quarantine"
-)
+import "time"
 
 type (
 	// Ask asks for a place on an endpoint.
@@ -21,8 +17,6 @@
 		Root string `json:"r"`
 		// Tokens is how many tokens the endpoint would have to read.
 		Tokens int `json:"t"`
-		// Fingerprint identifies the request.
-		Fingerprint quarantine.Fingerprint `json:"f,omitempty"`
 		// IsSuspect asks for a place apart from other suspects.
 		IsSuspect bool `json:"s,omitempty"`
 	}
@@ -36,9 +30,9 @@
 		Grant  string `json:"g,omitempty"`
 		Reason Reason `json:"n,omitempty"`
 		// Running is how many places are taken.
-		Running int `json:"r"`
+		Running int `json:"r,omitempty"`
 		// Backlog is how many tokens wait to be read.
-		Backlog float64 `json:"b"`
+		Backlog float64 `json:"b,omitempty"`
 		// Resident is how many tokens of the history the endpoint has likely in memory.
 		Resident int    `json:"m,omitempty"`
 		StartID  string `json:"i,omitempty"`
@@ -89,6 +83,12 @@
 	Unconfirmed
 )
 
+// rootDigits is how much of a history's name goes to the owner: it only guesses with it.
+const rootDigits = 12
+
+// ShortRoot returns the part of a history's name that goes to the owner.
+func ShortRoot(root string) string { return root[:min(rootDigits, len(root))] }
+
 // UseBy is how long after asking a place may be used.
 const UseBy = 500 * time.Millisecond
 
--- a/internal/slot/table.go
+++ b/internal/slot/table.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -109,7 +110,7 @@
 	st.settle(now, lm)
 	ans := Answer{
 		Running:  len(st.grants),
-		Backlog:  st.backlog,
+		Backlog:  math.Round(st.backlog),
 		Resident: st.memory.tokens(ask.Root),
 		StartID:  st.startID,
 		Version:  st.version,
--- a/programs/load/main.go
+++ b/programs/load/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/bergamotway/bergamotway/programs/load/control"
 	"github.com/bergamotway/bergamotway/programs/load/demo"
 	"github.com/bergamotway/bergamotway/programs/load/routing"
 )
@@ -19,6 +20,7 @@
 		Commands: []*cli.Command{
 			demo.Command(),
 			routing.Command(),
+			control.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
