--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -24,11 +24,15 @@
 	Pool struct {
 		tls   *tls.Config
 		meter Meter
+		open  Dial
 
 		mu    sync.Mutex
 		conns map[string]*pooledConn
 	}
 
+	// Dial opens a connection to an address.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	pooledConn struct {
 		mu   sync.Mutex
 		conn *jsonrpc2.Conn
@@ -37,9 +41,17 @@
 	ignoreHandler struct{}
 )
 
-// NewPool returns an empty pool. A nil tls configuration means plain TCP.
+// NewPool returns an empty pool over TCP. A nil tls configuration means plain TCP.
 func NewPool(conf *tls.Config, meter Meter) *Pool {
-	return &Pool{tls: conf, meter: meter, conns: make(map[string]*pooledConn)}
+	nd := net.Dialer{Timeout: poolDialTimeout}
+	return NewPoolOver(func(ctx context.Context, address string) (net.Conn, error) {
+		return nd.DialContext(ctx, "tcp", address)
+	}, conf, meter)
+}
+
+// NewPoolOver returns an empty pool whose connections are opened by open.
+func NewPoolOver(open Dial, conf *tls.Config, meter Meter) *Pool {
+	return &Pool{open: open, tls: conf, meter: meter, conns: make(map[string]*pooledConn)}
 }
 
 // Call calls a method of the host at address. It returns an *UnreachableError when no answer
@@ -130,8 +142,7 @@
 }
 
 func (po *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
-	nd := net.Dialer{Timeout: poolDialTimeout}
-	conn, err := nd.DialContext(ctx, "tcp", address)
+	conn, err := po.open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
--- a/programs/load/control/control.go
+++ b/programs/load/control/control.go
@@ -1,5 +1,5 @@
 // Package control measures the control parts alone at several fleet sizes: many hosts in one
-// process, real TCP between them, and one key-value stand-in.
+// process, TCP between them up to 96 hosts and pipes above, and one key-value stand-in.
 package control
 
 import (
@@ -35,9 +35,13 @@
 	fleet struct {
 		n     int
 		kv    *keyvalue.Service
+		pipes *network
 		hosts []*member
 		reads atomic.Int64
 		write atomic.Int64
+		// asked and answered count the questions for a place.
+		asked    atomic.Int64
+		answered atomic.Int64
 	}
 
 	// member is the control part of one host.
@@ -62,7 +66,7 @@
 
 	figures struct {
 		bytes, cpu, memory, reads, writes, inForce, settle float64
-		dead, owner                                        float64
+		dead, owner, granted                               float64
 	}
 )
 
@@ -78,6 +82,8 @@
 	// changes is how many changes of configuration are timed.
 	changes   = 3
 	formLimit = 60 * time.Second
+	// tcpLimit is the largest fleet that talks over TCP; larger ones use pipes in the process.
+	tcpLimit = 96
 	// deadShare and silentShare are the letter's: 1 host in 30 dead, watches silent on 1 in 10.
 	deadShare   = 30
 	silentShare = 10
@@ -130,6 +136,7 @@
 		{"reads-per-second", fg.reads, "1/s"},
 		{"writes-per-second", fg.writes, "1/s"},
 		{"config-in-force", fg.inForce, "s"},
+		{"places-given-share", fg.granted, "1"},
 		{"membership-settled", fg.settle, "s"},
 		{"death-known-everywhere", fg.dead, "s"},
 		{"endpoint-without-owner", fg.owner, "s"},
@@ -142,7 +149,7 @@
 }
 
 func newFleet(ctx context.Context, n int) (*fleet, error) {
-	fl := &fleet{n: n, kv: keyvalue.New(clock.System())}
+	fl := &fleet{n: n, kv: keyvalue.New(clock.System()), pipes: newNetwork()}
 	if _, err := configuration.NewEditor(fl.kv, "bench").Change(ctx, func(doc *configuration.Document) error {
 		*doc = fl.document()
 		return nil
@@ -192,13 +199,19 @@
 }
 
 func (fl *fleet) start(ctx context.Context, i int, seeds []string) (*member, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, errors.Wrap(err, "control: listen")
-	}
-	me := &member{fl: fl, listener: ln, done: make(chan struct{})}
+	me := &member{fl: fl, done: make(chan struct{})}
 	me.server = peer.NewServer(nil, me)
-	me.pool = peer.NewPool(nil, me)
+	if fl.n <= tcpLimit {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "control: listen")
+		}
+		me.listener, me.pool = ln, peer.NewPool(nil, me)
+	} else {
+		me.listener = fl.pipes.listen(fmt.Sprintf("127.2.%d.%d:70", i/250, 1+i%250))
+		me.pool = peer.NewPoolOver(fl.pipes.dial, nil, me)
+	}
+	ln := me.listener
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
 	lg.SetLevel(logrus.PanicLevel)
@@ -256,6 +269,7 @@
 	fg.bytes = float64(fl.bytes()-bytes) / took / float64(fl.n)
 	fg.cpu = (cpuTime() - cpu).Seconds() / took / float64(fl.n)
 	fg.reads = float64(fl.reads.Load()-reads) / took
+	fg.granted = float64(fl.answered.Load()) / float64(max(1, fl.asked.Load()))
 	fg.writes = float64(fl.write.Load()-writes) / took
 }
 
@@ -363,12 +377,14 @@
 func (me *member) request(ctx context.Context, i int) {
 	name := fmt.Sprintf("engine-%d", rand.IntN(me.fl.n*workersPerHost))
 	root := slot.ShortRoot(fmt.Sprintf("%032x", i))
+	me.fl.asked.Add(1)
 	ans, err := me.control.Desk.Take(ctx, slot.Ask{
 		Endpoint: name, Host: me.control.Self.Name, Root: root, Tokens: 16000,
 	})
 	if err != nil || ans.Grant == "" {
 		return
 	}
+	me.fl.answered.Add(1)
 	select {
 	case <-ctx.Done():
 	case <-time.After(3 * time.Second):
