--- a/programs/load/demo/demo.go
+++ b/programs/load/demo/demo.go
@@ -15,8 +15,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// Token is the bearer token of the demo's team.
+const Token = "demo-token"
+
 const (
-	token       = "demo-token"
 	callLimit   = 15 * time.Second
 	historySize = 4 * 16_000
 )
@@ -31,6 +33,8 @@
 		Model    string        `json:"model"`
 		Stream   bool          `json:"stream"`
 		Messages []chatMessage `json:"messages"`
+		// MaxTokens bounds the answer; zero means the engine's own bound.
+		MaxTokens int `json:"max_tokens,omitempty"`
 	}
 
 	chatEvent struct {
@@ -125,7 +129,7 @@
 	if _, err = fl.Control(ctx, "--wait", "apply", path); err != nil {
 		return err
 	}
-	for _, step := range [][]string{{"team", "set", "hartlebury", "--token", token}} {
+	for _, step := range [][]string{{"team", "set", "hartlebury", "--token", Token}} {
 		if _, err = fl.Control(ctx, append([]string{"--wait"}, step...)...); err != nil {
 			return err
 		}
@@ -160,6 +164,20 @@
 	}
 }
 
+// ChatBody returns the body of a streamed chat request.
+func ChatBody(class, text string) string { return LongChatBody(class, text, 0) }
+
+// LongChatBody returns the body of a streamed chat request for an answer of maxTokens tokens.
+func LongChatBody(class, text string, maxTokens int) string {
+	body, err := json.Marshal(chatRequest{
+		Model: class, Stream: true, MaxTokens: maxTokens, Messages: []chatMessage{{Role: "user", Content: text}},
+	})
+	if err != nil {
+		return ""
+	}
+	return string(body)
+}
+
 // checkChat sends a long history through one host and its return through the other.
 func checkChat(_ context.Context, fl *Fleet, out io.Writer) error {
 	text := strings.Repeat("The butcher's boning knife was ground at 18 degrees. ", historySize/53)
@@ -277,7 +295,7 @@
 	defer fasthttp.ReleaseResponse(rsp)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.SetRequestURI("http://" + eh.Listen + path)
-	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+token)
+	req.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+Token)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
--- a/programs/load/demo/fleet.go
+++ b/programs/load/demo/fleet.go
@@ -177,6 +177,9 @@
 	return errors.Wrap(fl.processes[name].cmd.Process.Signal(sig), "demo: signal")
 }
 
+// Process returns the process number of a process.
+func (fl *Fleet) Process(name string) int { return fl.processes[name].cmd.Process.Pid }
+
 // Stop ends a process by SIGTERM and returns how it ended.
 func (fl *Fleet) Stop(name string) error {
 	pr := fl.processes[name]
--- a/programs/load/main.go
+++ b/programs/load/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/bergamotway/bergamotway/programs/load/control"
 	"github.com/bergamotway/bergamotway/programs/load/demo"
+	"github.com/bergamotway/bergamotway/programs/load/path"
 	"github.com/bergamotway/bergamotway/programs/load/routing"
 )
 
@@ -21,6 +22,7 @@
 			demo.Command(),
 			routing.Command(),
 			control.Command(),
+			path.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
--- a/programs/load/routing/command.go
+++ b/programs/load/routing/command.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"path/filepath"
 	"slices"
 
 	"github.com/urfave/cli/v3"
@@ -17,15 +18,13 @@
 		Usage: "measure the routing decision against baselines",
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "the seed of the arrivals"},
+			&cli.StringFlag{Name: "plot", Usage: "a directory for plots, one SVG file a workload"},
 			&cli.BoolFlag{Name: "summary", Usage: "print crew p95 and recomputed share only, a line each event"},
 		},
 		Action: func(_ context.Context, cmd *cli.Command) error {
 			for _, wl := range workloads {
-				trace := wl.trace(cmd.Uint64("seed"))
-				for _, ev := range events {
-					if err := measure(cmd.Root().Writer, wl, ev, trace, cmd.Bool("summary")); err != nil {
-						return err
-					}
+				if err := measureAll(cmd, wl); err != nil {
+					return err
 				}
 			}
 			return nil
@@ -33,6 +32,25 @@
 	}
 }
 
+func measureAll(cmd *cli.Command, wl workload) error {
+	trace := wl.trace(cmd.Uint64("seed"))
+	crew := make(map[string][]float64)
+	for _, ev := range events {
+		if err := measure(cmd.Root().Writer, wl, ev, trace, cmd.Bool("summary"), crew); err != nil {
+			return err
+		}
+	}
+	if cmd.String("plot") == "" {
+		return nil
+	}
+	var names []string
+	for _, po := range policies(eventNone) {
+		names = append(names, po.name())
+	}
+	title := fmt.Sprintf("%s, seed %d", wl.name, cmd.Uint64("seed"))
+	return drawCrew(filepath.Join(cmd.String("plot"), "routing-"+wl.name+".svg"), title, names, crew)
+}
+
 func policies(ev event) []policy {
 	out := []policy{
 		newBergamotway(prewarmNone), &roundRobin{},
@@ -46,9 +64,10 @@
 	return out
 }
 
-func measure(out io.Writer, wl workload, ev event, trace []request, isSummary bool) error {
+func measure(out io.Writer, wl workload, ev event, trace []request, isSummary bool, crew map[string][]float64) error {
 	for i, po := range policies(ev) {
 		st := simulate(wl, ev, po, slices.Clone(trace))
+		crew[po.name()] = append(crew[po.name()], p95(st.ttft["crew"]))
 		if isSummary {
 			_, err := fmt.Fprintf(out, "%-10s %-18s %-18s crew %.3f desk %.3f draft %.2f recomputed %.3f refused %.4f crashes %d bound %.3f after-event %.3f warmed %.0f\n", wl.name, ev, po.name(),
 				p95(st.ttft["crew"]), p95(st.ttft["desk"]), p95(st.ttft["draft"]), st.recomputed/max(1, st.history),
--- /dev/null
+++ b/programs/load/routing/plot.go
@@ -0,0 +1,59 @@
+package routing
+
+import (
+	"image/color"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+	barWidth   = 0.35 * vg.Centimeter
+	// plotCeiling cuts bars that would hide the others, in seconds.
+	plotCeiling = 4.0
+)
+
+var barColours = []color.Color{
+	color.RGBA{R: 0x1b, G: 0x6e, B: 0x4f, A: 0xff},
+	color.RGBA{R: 0xb0, G: 0xb0, B: 0xb0, A: 0xff},
+	color.RGBA{R: 0x80, G: 0x80, B: 0x80, A: 0xff},
+	color.RGBA{R: 0xd9, G: 0x8e, B: 0x32, A: 0xff},
+	color.RGBA{R: 0x8a, G: 0x55, B: 0x2e, A: 0xff},
+}
+
+// drawCrew draws the crew's p95 of each policy, a group of bars for each event, into an SVG file.
+func drawCrew(file, title string, names []string, values map[string][]float64) error {
+	pl := plot.New()
+	pl.Title.Text = title
+	pl.Y.Label.Text = "crew, time to first token, p95 (s), cut at 4 s"
+	pl.Legend.Top = true
+	for i, name := range names {
+		bars, err := plotter.NewBarChart(cut(values[name]), barWidth)
+		if err != nil {
+			return errors.Wrap(err, "routing: plot")
+		}
+		bars.Color = barColours[i%len(barColours)]
+		bars.LineStyle.Width = 0
+		bars.Offset = barWidth * vg.Length(i-len(names)/2)
+		pl.Add(bars)
+		pl.Legend.Add(name, bars)
+	}
+	labels := make([]string, 0, len(events))
+	for _, ev := range events {
+		labels = append(labels, string(ev))
+	}
+	pl.NominalX(labels...)
+	return errors.Wrap(pl.Save(plotWidth, plotHeight, file), "routing: plot")
+}
+
+func cut(values []float64) plotter.Values {
+	out := make(plotter.Values, 0, len(values))
+	for _, v := range values {
+		out = append(out, min(v, plotCeiling))
+	}
+	return out
+}
