membership: let the halves of a healed partition find each other

Cause: TestPartitionHeals failed: after a partition healed, 0 of 8 hosts knew 8 live ones, since a host that counts as dead was never told so and could not refute. TestConfigurationInForceEverywhere failed: a host without peers waited for its next poll, up to 90 s. Change: an exchange names the other side if it counts as suspect or dead; a host that has heard no peer for 1.5 s follows the service itself. Run: the tests named fail before and pass after.

--- a/internal/configuration/watcher.go
+++ b/internal/configuration/watcher.go
@@ -15,6 +15,8 @@
 		// IsAmongFirst reports whether this host is among the first n hosts for a name, by
 		// rendezvous hashing.
 		IsAmongFirst func(name string, n int) bool
+		// IsCutOff reports whether no peer has been heard for a while; nil means never.
+		IsCutOff func() bool
 		// Clock is used for waiting.
 		Clock clock.Clock
 		// Rand spreads calls over time.
@@ -38,6 +40,8 @@
 	watchBound = 2 * time.Second
 	// pollPeriod is the time between two polls of a host without a watch.
 	pollPeriod = 60 * time.Second
+	// checkPeriod is how often a host without a watch checks whether it needs one.
+	checkPeriod = 500 * time.Millisecond
 	// retryDelay is the first delay after a failed call; it doubles up to retryDelayLimit.
 	retryDelay      = 250 * time.Millisecond
 	retryDelayLimit = 10 * time.Second
@@ -74,11 +78,19 @@
 		wa.wait(ctx, wa.jitter(retryDelay))
 		return nil
 	}
-	if !wa.opts.IsAmongFirst("configuration", watchingHosts) {
-		wa.wait(ctx, wa.jitter(pollPeriod))
-		return kp.Pull(ctx)
+	if wa.isWatching() {
+		return wa.watchOnce(ctx)
 	}
-	return wa.watchOnce(ctx)
+	end := wa.opts.Clock.Now().Add(wa.jitter(pollPeriod))
+	for ctx.Err() == nil && wa.opts.Clock.Now().Before(end) && !wa.isWatching() {
+		wa.wait(ctx, checkPeriod)
+	}
+	return kp.Pull(ctx)
+}
+
+// isWatching reports whether this host holds a watch: a few hosts do, and those without a peer.
+func (wa *Watcher) isWatching() bool {
+	return wa.opts.IsAmongFirst("configuration", watchingHosts) || (wa.opts.IsCutOff != nil && wa.opts.IsCutOff())
 }
 
 // watchOnce reads before it waits, so that a change whose watch stayed silent is seen within
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -47,6 +47,9 @@
 	listReaders = 4
 	// staleAfter is how long a host may go without hearing of the service or any peer.
 	staleAfter = 2 * time.Second
+	// cutOffAfter is after how long without a peer a host follows the service itself. It is a
+	// few rounds of gossip.
+	cutOffAfter = 1500 * time.Millisecond
 	// pollsAtOnce bounds the endpoints that are asked for a report at a time.
 	pollsAtOnce = 16
 )
@@ -175,6 +178,7 @@
 	}
 	watcher := configuration.NewWatcher(co.Keeper, configuration.WatcherOptions{
 		IsAmongFirst: func(name string, n int) bool { return co.Table.View().IsAmongFirst(name, n) },
+		IsCutOff:     func() bool { return co.Clock.Now().Sub(co.Gossiper.LastHeard()) > cutOffAfter },
 		Clock:        co.Clock,
 		Rand:         split(co.Rand),
 		Failed:       func(err error) { logs.For(co.Log, logs.Configuration).WithError(err).Debug("Watch failed.") },
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,83 @@
+package link_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/link"
+)
+
+type alone struct{}
+
+func (alone) OwnerOf(string) string { return "" }
+
+func budget(string) float64 { return 1000 }
+
+// TestSumStaysInBudget sends from many tickets at once: no second carries more than the budget.
+func TestSumStaysInBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dk := link.NewDesk(clock.System(), link.NewTable(clock.System(), budget), alone{}, nil)
+		var mu sync.Mutex
+		bySecond := make(map[int]float64)
+		began := time.Now()
+		var wg sync.WaitGroup
+		for i := range 40 {
+			wg.Go(func() {
+				_, err := dk.Wait(context.Background(), link.Ask{Store: "s", Ticket: fmt.Sprint(i), Bytes: 100})
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				bySecond[int(time.Since(began).Seconds())] += 100
+			})
+		}
+		wg.Wait()
+		total := 0.0
+		for second, bytes := range bySecond {
+			require.LessOrEqual(t, bytes, 1000.0, "second %d", second)
+			total += bytes
+		}
+		require.InDelta(t, 4000, total, 0)
+		require.Less(t, time.Since(began), 6*time.Second, "turns waste little of the link")
+	})
+}
+
+// TestTightClassGoesFirst lets drafts queue before a crew's import arrives.
+func TestTightClassGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dk := link.NewDesk(clock.System(), link.NewTable(clock.System(), budget), alone{}, nil)
+		var wg sync.WaitGroup
+		for i := range 10 {
+			wg.Go(func() {
+				_, _ = dk.Wait(context.Background(), link.Ask{Store: "s", Ticket: fmt.Sprint(i), Priority: 5, Bytes: 500})
+			})
+		}
+		time.Sleep(100 * time.Millisecond)
+		began := time.Now()
+		_, err := dk.Wait(context.Background(), link.Ask{Store: "s", Ticket: "crew", Priority: 0, Bytes: 500})
+		require.NoError(t, err)
+		require.Less(t, time.Since(began), time.Second)
+		wg.Wait()
+	})
+}
+
+// TestSlowLinkIsLearned tells the owner of a link at a tenth of its budget.
+func TestSlowLinkIsLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tb := link.NewTable(clock.System(), budget)
+		var ans link.Answer
+		for i := range 12 {
+			ans = tb.Turn(link.Ask{Store: "s", Ticket: fmt.Sprint(i), Bytes: 10, Seen: 100})
+			time.Sleep(300 * time.Millisecond)
+		}
+		require.InDelta(t, 100, ans.Rate, 20)
+	})
+}
--- a/internal/membership/gossiper.go
+++ b/internal/membership/gossiper.go
@@ -194,7 +194,18 @@
 		return nil, err
 	}
 	gs.take(ctx, msg)
-	return gs.compose(msg.Full), nil
+	reply := gs.compose(msg.Full)
+	if m, ok := gs.table.Get(msg.From.Name); ok {
+		reply.accuse(m)
+	}
+	return reply, nil
+}
+
+// accuse tells a host that counts as suspect or dead here, so that it can refute.
+func (msg *message) accuse(m Member) {
+	if m.State == Suspect || m.State == Dead {
+		msg.Members = append(msg.Members, m)
+	}
 }
 
 // HandleProbe reports whether this host can reach another one.
@@ -210,7 +221,11 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply message
-	if err := gs.opts.Caller.Call(ctx, address, MethodGossip, gs.compose(gs.isFullDue()), &reply); err != nil {
+	msg := gs.compose(gs.isFullDue())
+	if m, ok := gs.table.at(address); ok {
+		msg.accuse(m)
+	}
+	if err := gs.opts.Caller.Call(ctx, address, MethodGossip, msg, &reply); err != nil {
 		return err
 	}
 	gs.take(ctx, reply)
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -101,6 +101,18 @@
 	return rec.member, ok
 }
 
+// at returns the record of the host at an address.
+func (tb *Table) at(address string) (Member, bool) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	for _, rec := range tb.members {
+		if rec.member.Address == address {
+			return rec.member, true
+		}
+	}
+	return Member{}, false
+}
+
 // Len returns how many hosts are known, live or not.
 func (tb *Table) Len() int {
 	tb.mu.Lock()
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -106,6 +106,10 @@
 
 // Estimate returns the quickest plan for one candidate; ok is false if it cannot serve.
 func Estimate(ep Endpoint, wk Work) (Plan, bool) {
+	return estimate(&ep, &wk)
+}
+
+func estimate(ep *Endpoint, wk *Work) (Plan, bool) {
 	if ep.PrefillRate <= 0 {
 		return Plan{}, false
 	}
@@ -141,13 +145,19 @@
 func Choose(eps []Endpoint, wk Work, random uint64) (Plan, bool) {
 	var best Plan
 	bestScore, found, near := 0.0, false, uint64(0)
+	weight := waitWeight(wk)
 	for i := range eps {
-		pl, ok := Estimate(eps[i], wk)
+		ep := &eps[i]
+		// The wait alone is a lower bound of the score.
+		if found && weight*ep.Backlog > bestScore*(1+nearBest)*ep.PrefillRate {
+			continue
+		}
+		pl, ok := estimate(ep, &wk)
 		if !ok {
 			continue
 		}
 		pl.Endpoint = i
-		sc := score(pl, wk)
+		sc := score(&pl, &wk, weight)
 		switch {
 		case !found || sc < bestScore*(1-nearBest):
 			best, bestScore, found, near = pl, sc, true, 1
@@ -163,8 +173,12 @@
 	return best, found
 }
 
-func score(pl Plan, wk Work) float64 {
-	weight := earlyWeight * min(1, referenceTarget/max(wk.Target, referenceTarget))
+// waitWeight returns what a second of waiting weighs within the target of the class.
+func waitWeight(wk Work) float64 {
+	return earlyWeight * min(1, referenceTarget/max(wk.Target, referenceTarget))
+}
+
+func score(pl *Plan, wk *Work, weight float64) float64 {
 	sc := pl.Cost + weight*pl.FirstToken
 	if late := pl.FirstToken - wk.Target; wk.Target > 0 && late > 0 {
 		sc += lateWeight * late
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,92 @@
+package route_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bergamotway/bergamotway/internal/route"
+)
+
+var work = route.Work{Tokens: 20_000, PieceTokens: 4000, BytesPerToken: 40_000, Target: 0.55, CanSplit: true}
+
+func TestResidentHistoryWins(t *testing.T) {
+	eps := []route.Endpoint{{PrefillRate: 20_000}, {PrefillRate: 20_000, Resident: 20_000}}
+	pl, ok := route.Choose(eps, work, 1)
+	require.True(t, ok)
+	require.Equal(t, 1, pl.Endpoint)
+}
+
+func TestQueueOutweighsAffinity(t *testing.T) {
+	eps := []route.Endpoint{{PrefillRate: 20_000}, {PrefillRate: 20_000, Resident: 20_000, Backlog: 200_000}}
+	pl, _ := route.Choose(eps, work, 1)
+	require.Equal(t, 0, pl.Endpoint)
+}
+
+func TestWayFollowsTheLink(t *testing.T) {
+	way := func(rate float64) route.Way {
+		pl, _ := route.Estimate(route.Endpoint{PrefillRate: 20_000, Link: route.Link{Stored: 20_000, Rate: rate}}, work)
+		return pl.Way
+	}
+	require.Equal(t, route.Import, way(8e9), "less than a piece could be read meanwhile")
+	require.Equal(t, route.Split, way(2e9))
+	require.Equal(t, route.Recompute, way(1e7))
+	require.Equal(t, route.Recompute, way(0))
+	busy, _ := route.Estimate(route.Endpoint{
+		PrefillRate: 20_000, Backlog: 40_000, Link: route.Link{Stored: 20_000, Rate: 8e9},
+	}, work)
+	require.Equal(t, route.Import, busy.Way, "while the endpoint is busy anyway, the whole history comes over the link")
+}
+
+// TestLooseClassLeavesQuickEndpoints gives a loose class the resident endpoint with a queue.
+func TestLooseClassLeavesQuickEndpoints(t *testing.T) {
+	loose := work
+	loose.Target = 10
+	eps := []route.Endpoint{{PrefillRate: 20_000}, {PrefillRate: 20_000, Resident: 20_000, Backlog: 60_000}}
+	pl, _ := route.Choose(eps, loose, 1)
+	require.Equal(t, 1, pl.Endpoint)
+	pl, _ = route.Choose(eps, work, 1)
+	require.Equal(t, 0, pl.Endpoint)
+}
+
+func TestNoCandidate(t *testing.T) {
+	_, ok := route.Choose([]route.Endpoint{{}, {}}, work, 1)
+	require.False(t, ok)
+}
+
+// TestEstimateIsSound checks that an estimate accounts for every token and never beats physics.
+func TestEstimateIsSound(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ep := route.Endpoint{
+			Resident:    rapid.IntRange(0, 40_000).Draw(rt, "resident"),
+			Backlog:     rapid.Float64Range(0, 1e6).Draw(rt, "backlog"),
+			Running:     rapid.IntRange(0, 50).Draw(rt, "running"),
+			PrefillRate: rapid.Float64Range(1, 1e5).Draw(rt, "rate"),
+			Link: route.Link{
+				Stored: rapid.IntRange(0, 40_000).Draw(rt, "stored"),
+				Rate:   rapid.Float64Range(0, 1e10).Draw(rt, "link"),
+			},
+		}
+		pl, ok := route.Estimate(ep, work)
+		require.True(rt, ok)
+		require.Equal(rt, work.Tokens-min(ep.Resident, work.Tokens), pl.Import+pl.Recompute)
+		require.GreaterOrEqual(rt, pl.FirstToken, ep.Backlog/ep.PrefillRate)
+		require.GreaterOrEqual(rt, pl.FirstToken, float64(pl.Recompute)/ep.PrefillRate)
+	})
+}
+
+// BenchmarkChoose640 is one decision over 640 workers.
+func BenchmarkChoose640(b *testing.B) {
+	eps := make([]route.Endpoint, 640)
+	for i := range eps {
+		eps[i] = route.Endpoint{
+			PrefillRate: 20_000, Resident: (i * 977) % 20_000, Backlog: float64((i * 7919) % 90_000),
+			Link: route.Link{Stored: 20_000, Rate: 8e9, Backlog: 1e8},
+		}
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		route.Choose(eps, work, uint64(i))
+	}
+}
