--- /dev/null
+++ b/programs/load/demo/process_test.go
@@ -0,0 +1,224 @@
+package demo_test
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/bergamotway/bergamotway/programs/load/demo"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "bergamotway-bin-")
+	if err != nil {
+		panic(err)
+	}
+	for _, name := range []string{"bergamotway", "bergamotctl", "standin"} {
+		cmd := exec.Command("go", "build", "-o", filepath.Join(dir, name), ".")
+		cmd.Dir = filepath.Join("..", "..", name)
+		if out, buildErr := cmd.CombinedOutput(); buildErr != nil {
+			panic(string(out))
+		}
+	}
+	binaries = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func startFleet(t *testing.T) *demo.Fleet {
+	t.Helper()
+	fl, err := demo.NewFleet(binaries)
+	require.NoError(t, err)
+	t.Cleanup(fl.Close)
+	require.NoError(t, fl.StartAll(context.Background()))
+	return fl
+}
+
+func runsOf(t *testing.T, fl *demo.Fleet, key string) int {
+	t.Helper()
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+fl.Services[0]+"/runs/"+key, 5*time.Second)
+	require.NoError(t, err)
+	n, err := strconv.Atoi(string(body))
+	require.NoError(t, err)
+	return n
+}
+
+func faults(t *testing.T, address, body string) {
+	t.Helper()
+	req, rsp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(rsp)
+	req.SetRequestURI("http://" + address + "/faults")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.SetBodyString(body)
+	require.NoError(t, fasthttp.DoTimeout(req, rsp, 5*time.Second))
+	require.Equal(t, fasthttp.StatusOK, rsp.StatusCode())
+}
+
+// TestKillEntryHostDuringBookings kills an entry host under bookings and sends every booking again
+// through the other one: none runs twice.
+func TestKillEntryHostDuringBookings(t *testing.T) {
+	fl := startFleet(t)
+	const bookings = 60
+	var wg sync.WaitGroup
+	var sent atomic.Int64
+	for i := range bookings {
+		wg.Go(func() {
+			_, _ = fl.Book(fl.Hosts[0], fmt.Sprintf("visit-%d", i), `{}`)
+			sent.Add(1)
+		})
+	}
+	require.NoError(t, demo.Await(10*time.Second, "no booking has ended", func() bool { return sent.Load() > 0 }))
+	fl.Kill(fl.Hosts[0].Name)
+	wg.Wait()
+	answered := 0
+	for i := range bookings {
+		if _, err := fl.Book(fl.Hosts[1], fmt.Sprintf("visit-%d", i), `{}`); err == nil {
+			answered++
+		}
+		require.LessOrEqual(t, runsOf(t, fl, fmt.Sprintf("visit-%d", i)), 1)
+	}
+	t.Logf("%d of %d resends got a receipt, the others an unknown outcome", answered, bookings)
+	require.Positive(t, answered)
+}
+
+// TestFrozenEntryHost freezes an entry host; the other one serves, and the frozen one is not ready
+// when it wakes until it has heard of the others.
+func TestFrozenEntryHost(t *testing.T) {
+	fl := startFleet(t)
+	require.NoError(t, fl.Signal(fl.Hosts[0].Name, syscall.SIGSTOP))
+	require.NoError(t, demo.Await(20*time.Second, "the other host does not serve alone", func() bool {
+		_, _, err := fl.Chat(fl.Hosts[1], "Which steel?")
+		return err == nil
+	}))
+	_, err := fl.Book(fl.Hosts[1], "visit", `{}`)
+	require.NoError(t, err)
+	require.NoError(t, fl.Signal(fl.Hosts[0].Name, syscall.SIGCONT))
+	require.NoError(t, fl.AwaitReady(fl.Hosts[0]))
+	_, _, err = fl.Chat(fl.Hosts[0], "Which steel?")
+	require.NoError(t, err)
+}
+
+// TestGracefulStopUnderLoad stops an entry host and an engine at once under load: no request is cut.
+func TestGracefulStopUnderLoad(t *testing.T) {
+	fl := startFleet(t)
+	var stopped atomic.Bool
+	var cut, served atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for n := 0; !stopped.Load(); n++ {
+				// The caller stands behind a balancer: it goes to the host that says that it is ready.
+				eh := fl.Hosts[(i+n)%2]
+				if !isReady(eh) {
+					eh = fl.Hosts[1]
+				}
+				_, _, err := fl.Chat(eh, fmt.Sprintf("question %d %d", i, n))
+				switch {
+				case err == nil:
+					served.Add(1)
+				case strings.Contains(err.Error(), "leaving") || strings.Contains(err.Error(), "refused"):
+				default:
+					cut.Add(1)
+					t.Log(err)
+				}
+			}
+		})
+	}
+	await := func(n int64) {
+		require.NoError(t, demo.Await(20*time.Second, "too few answers", func() bool { return served.Load() >= n }))
+	}
+	await(50)
+	_, err := fl.Control(context.Background(), "--wait", "endpoint", "leave", "engine-1")
+	require.NoError(t, err)
+	require.NoError(t, fl.Stop(fl.Hosts[0].Name), "the host exits 0")
+	require.NoError(t, fl.Stop("engine-1"))
+	await(served.Load() + 50)
+	stopped.Store(true)
+	wg.Wait()
+	require.Zero(t, cut.Load())
+}
+
+func isReady(eh demo.EntryHost) bool {
+	status, _, err := fasthttp.GetTimeout(nil, "http://"+eh.Operator+"/health", time.Second)
+	return err == nil && status == fasthttp.StatusOK
+}
+
+// TestSilentPlatformConnections makes every open connection to the key-value service silent for
+// good: a change is in force all the same, and bookings go on.
+func TestSilentPlatformConnections(t *testing.T) {
+	fl := startFleet(t)
+	faults(t, fl.KeyValue, `{"silence-open": true}`)
+	began := time.Now()
+	_, err := fl.Control(context.Background(), "--wait", "class", "set", "note", "--model", "assistant", "--first-token", "2s")
+	require.NoError(t, err)
+	require.Less(t, time.Since(began), 5*time.Second)
+	require.NoError(t, demo.Await(15*time.Second, "no booking", func() bool {
+		_, bookErr := fl.Book(fl.Hosts[0], "visit", `{}`)
+		return bookErr == nil
+	}))
+	require.Equal(t, 1, runsOf(t, fl, "visit"))
+}
+
+// TestSilentEngine makes the connections to one engine silent: answers come from the other.
+func TestSilentEngine(t *testing.T) {
+	fl := startFleet(t)
+	faults(t, fl.Engines[0], `{"silent-after": 1}`)
+	for i := range 3 {
+		text, _, err := fl.Chat(fl.Hosts[0], fmt.Sprintf("question %d", i))
+		require.NoError(t, err)
+		require.Len(t, strings.Fields(text), 16)
+	}
+}
+
+// TestServiceDiesAfterRunning loses the service's answer: the outcome is unknown, never a second run.
+func TestServiceDiesAfterRunning(t *testing.T) {
+	fl := startFleet(t)
+	faults(t, fl.Services[0], `{"lose-answers": true}`)
+	_, err := fl.Book(fl.Hosts[0], "visit", `{}`)
+	require.ErrorContains(t, err, "outcome-unknown")
+	faults(t, fl.Services[0], `{}`)
+	_, err = fl.Book(fl.Hosts[1], "visit", `{}`)
+	require.ErrorContains(t, err, "may-have-run")
+	require.Equal(t, 1, runsOf(t, fl, "visit"))
+	out, err := fl.Control(context.Background(), "booking", "hartlebury", "desk", "visit")
+	require.NoError(t, err)
+	require.Contains(t, out, "intended")
+}
+
+// TestControlExitCodes runs the operators' client into its documented failures.
+func TestControlExitCodes(t *testing.T) {
+	fl := startFleet(t)
+	code := func(args ...string) int {
+		_, err := fl.Control(context.Background(), args...)
+		var ee *exec.ExitError
+		require.ErrorAs(t, err, &ee)
+		return ee.ExitCode()
+	}
+	require.Equal(t, 3, code("zone", "out", "no-such-zone"))
+	require.Equal(t, 2, code("class", "set", "x", "--model", "no-such-model", "--first-token", "1s"))
+	require.Equal(t, 2, code("apply", "/no/such/file"))
+	out, err := fl.Control(context.Background(), "--wait", "zone", "out", "mid-a")
+	require.NoError(t, err)
+	require.Contains(t, out, "in force on entry-1")
+	out, err = fl.Control(context.Background(), "status")
+	require.NoError(t, err)
+	require.Contains(t, out, "ready")
+	faults(t, fl.KeyValue, `{"lose-answers": true}`)
+	require.Equal(t, 1, code("zone", "in", "mid-a"), "the service gives no answer to the first read")
+}
