--- /dev/null
+++ b/internal/booking/ledger_test.go
@@ -0,0 +1,85 @@
+package booking_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/booking"
+	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/service"
+	"github.com/bergamotway/bergamotway/internal/standin/keyvalue"
+)
+
+// start returns n ledgers over one service, as n hosts that all believe to own every range.
+func start(t *testing.T, kv *keyvalue.Service, n int) []*booking.Ledger {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var out []*booking.Ledger
+	for range n {
+		ld := booking.NewLedger(kv, booking.Options{Clock: clock.System()})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			ld.Run(ctx)
+		}()
+		t.Cleanup(func() { <-done })
+		out = append(out, ld)
+	}
+	t.Cleanup(cancel)
+	return out
+}
+
+// TestTwoWritersCannotBothRecord lets a host that has read the log before write with old knowledge.
+func TestTwoWritersCannotBothRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lds := start(t, keyvalue.New(clock.System()), 2)
+		ctx := context.Background()
+		id := booking.NewID("t", "visit")
+		for _, ld := range lds {
+			_, err := ld.Look(ctx, id)
+			require.NoError(t, err)
+		}
+		first, err := lds[0].Begin(ctx, booking.Request{ID: id, Intent: "a", Body: "b"})
+		require.NoError(t, err)
+		require.Equal(t, booking.Proceed, first.Verdict)
+		second, err := lds[1].Begin(ctx, booking.Request{ID: id, Intent: "c", Body: "b"})
+		require.NoError(t, err)
+		require.Equal(t, booking.Pending, second.Verdict)
+	})
+}
+
+// TestLogIsCutIntoSegments writes more than a head holds from two hosts; a third one that starts
+// later still knows every key, and a large answer is kept whole.
+func TestLogIsCutIntoSegments(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		kv := keyvalue.New(clock.System())
+		lds := start(t, kv, 2)
+		ctx := context.Background()
+		const bookings = 600
+		large := strings.Repeat("x", 10_000)
+		for i := range bookings {
+			req := booking.Request{ID: booking.NewID("t", fmt.Sprint(i)), Intent: fmt.Sprint("i", i), Body: "b"}
+			d, err := lds[i%2].Begin(ctx, req)
+			require.NoError(t, err)
+			require.Equal(t, booking.Proceed, d.Verdict)
+			require.NoError(t, lds[i%2].Finish(ctx, req, service.Answer{Status: 200, Body: []byte(large[:200+i%2*9800])}))
+		}
+		late := start(t, kv, 1)[0]
+		for i := range bookings {
+			id := booking.NewID("t", fmt.Sprint(i))
+			d, err := late.Begin(ctx, booking.Request{ID: id, Intent: "again", Body: "b"})
+			require.NoError(t, err)
+			require.Equal(t, booking.Replay, d.Verdict, "booking %d", i)
+			rec, err := late.Look(ctx, id)
+			require.NoError(t, err)
+			ans, err := late.Answer(ctx, rec)
+			require.NoError(t, err)
+			require.Len(t, ans.Body, 200+i%2*9800)
+		}
+	})
+}
--- a/internal/session/dispatch_test.go
+++ b/internal/session/dispatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -47,18 +48,26 @@
 	}
 }
 
-// TestAnswerNeverSplicedFromTwoVersions kills an engine mid-stream when only another version is
-// left: the answer ends with a typed error and no token of the other version.
+// TestAnswerNeverSplicedFromTwoVersions cuts an answer during a rollout, when only an engine with
+// the next version is left: the answer ends with a typed error and no token of that version.
 func TestAnswerNeverSplicedFromTwoVersions(t *testing.T) {
 	run(t, func(w *world) {
 		w.start(document("mid-a", "mid-a"), "entry-1")
-		w.engines["10.0.7.2:80"].set(func() { w.engines["10.0.7.2:80"].version = "v0" })
-		w.engines["10.0.7.1:80"].set(func() { w.engines["10.0.7.1:80"].cutAfter = 2 })
-		w.engines["10.0.7.1:80"].set(func() { w.engines["10.0.7.1:80"].tokens = 100 })
-		text, err := w.nodes["entry-1"].ask("q1", tokenHartlebury, "crew", "hello")
-		require.Error(t, err)
-		require.Equal(t, refusal.MayHaveRun, runOf(err))
-		require.NotContains(t, text, "v0")
+		one, two := w.engines["10.0.7.1:80"], w.engines["10.0.7.2:80"]
+		two.set(func() { two.version = "v2" })
+		w.order(func(doc *configuration.Document) { doc.Models[0].NextVersion = "v2" })
+		time.Sleep(200 * time.Millisecond)
+		one.set(func() { one.tokens, one.cutAfter = 100, 2 })
+		cut := 0
+		for i := range 8 {
+			text, err := w.nodes["entry-1"].ask(fmt.Sprintf("q%d", i), tokenHartlebury, "crew", fmt.Sprintf("question %d", i))
+			if err != nil {
+				require.Equal(t, refusal.MayHaveRun, runOf(err))
+				cut++
+			}
+			require.False(t, strings.Contains(text, "v1") && strings.Contains(text, "v2"), text)
+		}
+		require.Positive(t, cut)
 	})
 }
 
@@ -130,7 +139,7 @@
 		w.start(document("mid-a"), "entry-1", "entry-2", "entry-3")
 		en := w.engines["10.0.7.1:80"]
 		en.set(func() {
-			en.tokens = 400
+			en.tokens = 3000
 			en.coldTime = 5 * time.Minute
 			en.crash(0)
 		})
@@ -287,12 +296,12 @@
 		var wg sync.WaitGroup
 		for i := range requests {
 			wg.Go(func() {
-				_, _ = w.nodes["entry-1"].ask(fmt.Sprintf("q%d", i), tokenHartlebury, "crew", fmt.Sprintf("question %d", i))
+				_, _ = w.nodes["entry-1"].ask(fmt.Sprintf("q%d", i), tokenHartlebury, "draft", fmt.Sprintf("question %d", i))
 			})
-			time.Sleep(30 * time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
 		}
 		wg.Wait()
-		dispatches := w.counted("dispatches.crew")
+		dispatches := w.counted("dispatches.draft")
 		require.LessOrEqual(t, dispatches, requests+requests/10+3, "the budget is a tenth and a reserve of 3")
 		for _, en := range w.engines {
 			en.set(func() { en.isSilent = false })
--- a/internal/session/fake_test.go
+++ b/internal/session/fake_test.go
@@ -120,9 +120,11 @@
 )
 
 const (
-	engineRate  = 20_000
-	tokenTime   = 10 * time.Millisecond
-	engineStart = "start-"
+	engineRate = 20_000
+	tokenTime  = 10 * time.Millisecond
+	// silenceLimit is how long a connection may give no byte.
+	silenceLimit = 2 * time.Second
+	engineStart  = "start-"
 )
 
 func newFakePlatform(w *world) *fakePlatform {
@@ -169,12 +171,19 @@
 	fp.mu.Lock()
 	isSilent := fp.isWatchSilent
 	fp.mu.Unlock()
+	end := time.After(bound)
 	if !isSilent {
-		return fp.Service.Watch(ctx, purpose, key, after, bound)
+		en, err := fp.Service.Watch(ctx, purpose, key, after, bound)
+		fp.mu.Lock()
+		isSilent = fp.isWatchSilent
+		fp.mu.Unlock()
+		if !isSilent {
+			return en, err
+		}
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(bound):
+	case <-end:
 	}
 	return platform.Entry{}, platform.NewUnavailableError("watch", errUnreachable)
 }
@@ -343,6 +352,11 @@
 	if err := fs.wait(tokenTime); err != nil {
 		return engine.Token{}, err
 	}
+	if fs.en.silent() {
+		// The silence limit of the connection.
+		_ = fs.wait(silenceLimit)
+		return engine.Token{}, connection.NewBrokenError(fs.en.name, true, io.ErrNoProgress)
+	}
 	fs.en.mu.Lock()
 	defer fs.en.mu.Unlock()
 	switch {
@@ -350,8 +364,6 @@
 		return engine.Token{}, engine.NewCrossedError(fs.rn.ID, "another-run")
 	case fs.en.cutAfter > 0 && fs.sent == fs.en.cutAfter, fs.en.noEndMark && fs.finish:
 		return engine.Token{}, connection.NewBrokenError(fs.en.name, false, io.ErrUnexpectedEOF)
-	case fs.en.isSilent:
-		return engine.Token{}, connection.NewBrokenError(fs.en.name, true, io.ErrNoProgress)
 	case fs.finish:
 		return engine.Token{}, io.EOF
 	case fs.next >= fs.en.tokens:
@@ -364,6 +376,12 @@
 	return tok, nil
 }
 
+func (en *fakeEngine) silent() bool {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return en.isSilent
+}
+
 func (fs *fakeStream) wait(d time.Duration) error {
 	select {
 	case <-fs.ctx.Done():
