membership: count unequal tables for each neighbour

Found with a dump of the tables: the halves had learned of each other only in part before the cut. Ruled out: lost accusations (all records were live). Change: the count is per neighbour, two in a row; the bench waits for equal tables before it measures.

--- a/internal/membership/gossiper.go
+++ b/internal/membership/gossiper.go
@@ -64,7 +64,8 @@
 
 		mu       sync.Mutex
 		stranger time.Time
-		unequal  int
+		// unequal counts, for each address, the exchanges in a row that left the tables unequal.
+		unequal map[string]int
 	}
 
 	neighbours struct {
@@ -92,15 +93,16 @@
 	}
 )
 
-// unequalRounds is how many exchanges may leave two tables unequal before all records are sent.
-const unequalRounds = 4
+// unequalRounds is how many exchanges in a row with one host may leave the two tables unequal
+// before all records are sent.
+const unequalRounds = 2
 
 // NewGossiper returns a gossiper over table.
 func NewGossiper(table *Table, opts Options) *Gossiper {
 	if opts.Rand == nil {
 		opts.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
-	return &Gossiper{opts: opts, table: table}
+	return &Gossiper{opts: opts, table: table, unequal: make(map[string]int)}
 }
 
 // LastHeard returns when a peer was last heard; the zero time means never.
@@ -221,7 +223,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply message
-	msg := gs.compose(gs.isFullDue())
+	msg := gs.compose(gs.isFullDue(address))
 	if m, ok := gs.table.at(address); ok {
 		msg.accuse(m)
 	}
@@ -229,7 +231,7 @@
 		return err
 	}
 	gs.take(ctx, reply)
-	gs.compare(reply.Hash)
+	gs.compare(address, reply.Hash)
 	return nil
 }
 
@@ -266,27 +268,27 @@
 	}
 }
 
-// compare counts the exchanges in a row that left the two tables unequal.
-func (gs *Gossiper) compare(hash uint32) {
+// compare counts the exchanges in a row with one host that left the two tables unequal.
+func (gs *Gossiper) compare(address string, hash uint32) {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
 	if hash == uint32(gs.table.Hash()) {
-		gs.unequal = 0
+		delete(gs.unequal, address)
 		return
 	}
-	gs.unequal++
+	gs.unequal[address]++
 }
 
-func (gs *Gossiper) isFullDue() bool {
+func (gs *Gossiper) isFullDue(address string) bool {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
 	if gs.table.Len() == 1 {
 		return true
 	}
-	if gs.unequal < unequalRounds {
+	if gs.unequal[address] < unequalRounds {
 		return false
 	}
-	gs.unequal = 0
+	delete(gs.unequal, address)
 	return true
 }
 
--- a/programs/load/control/control.go
+++ b/programs/load/control/control.go
@@ -239,12 +239,13 @@
 	return me, nil
 }
 
-// form waits until every host knows all others and has the configuration.
+// form waits until every host knows all others, has the same records and has the configuration.
 func (fl *fleet) form(ctx context.Context) (float64, error) {
 	began := time.Now()
 	err := await(ctx, formLimit, func() bool {
 		for _, me := range fl.hosts {
-			if len(me.control.Table.View().Names()) != fl.n || me.control.Keeper.Revision() == 0 {
+			isEqual := me.control.Table.Hash() == fl.hosts[0].control.Table.Hash()
+			if len(me.control.Table.View().Names()) != fl.n || !isEqual || me.control.Keeper.Revision() == 0 {
 				return false
 			}
 		}
