peer: name the other side in mutual TLS

Cause: TestCallOverMutualTLS failed: the client side named no server, so no call over mutual TLS could ever succeed; the settings accepted it all the same. Found by the first test of it. Change: the IP number that is called must stand in the certificate.

--- /dev/null
+++ b/internal/configuration/editor_test.go
@@ -0,0 +1,106 @@
+package configuration_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/configuration"
+	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/settings"
+	"github.com/bergamotway/bergamotway/internal/standin/keyvalue"
+)
+
+func large(doc *configuration.Document) error {
+	doc.Zones = []configuration.Zone{{Name: "z"}}
+	for i := range 28 {
+		doc.Models = append(doc.Models, configuration.Model{Name: fmt.Sprintf("m-%d", i), Version: "v1"})
+	}
+	for i := range 2200 {
+		name := fmt.Sprintf("team-%d", i)
+		doc.Teams = append(doc.Teams, configuration.Team{Name: name, TokenHashes: []string{configuration.HashToken(name)}})
+	}
+	for i := range 640 {
+		doc.Endpoints = append(doc.Endpoints, configuration.Endpoint{
+			Name: fmt.Sprintf("e-%d", i), Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Zone: "z", Model: "m-1",
+		})
+	}
+	return nil
+}
+
+// TestSizeOfTwoYears keeps every value far below the limit, and a change of one team small.
+func TestSizeOfTwoYears(t *testing.T) {
+	clk := clockwork.NewFakeClock()
+	kv := keyvalue.New(clk)
+	ctx := context.Background()
+	ed := configuration.NewEditor(kv, "a")
+	_, err := ed.Change(ctx, large)
+	require.NoError(t, err)
+	ens, err := kv.List(ctx, platform.PurposeConfiguration, "")
+	require.NoError(t, err)
+	for _, en := range ens {
+		require.Less(t, len(en.Value()), platform.ValueLimit/16, en.Key())
+	}
+	kp := configuration.NewKeeper(kv, nil)
+	require.NoError(t, kp.Pull(ctx))
+	_, err = ed.Change(ctx, func(doc *configuration.Document) error {
+		doc.Teams[7].Weight = 3
+		return nil
+	})
+	require.NoError(t, err)
+	other := configuration.NewKeeper(kv, nil)
+	require.NoError(t, other.Pull(ctx))
+	up, ok := other.Since(0)
+	require.True(t, ok)
+	require.Greater(t, len(up.Parts), 60)
+	require.NoError(t, kp.Pull(ctx))
+	up, ok = kp.Since(1)
+	require.True(t, ok)
+	require.Len(t, up.Parts, 1, "a peer that is one revision behind gets one bucket")
+	clk.Advance(2 * time.Hour)
+	left, err := kv.List(ctx, platform.PurposeConfiguration, "")
+	require.NoError(t, err)
+	require.Len(t, left, len(ens), "the replaced part has expired")
+}
+
+func TestKeeperNeverReverts(t *testing.T) {
+	kv := keyvalue.New(clockwork.NewFakeClock())
+	ctx := context.Background()
+	ed := configuration.NewEditor(kv, "a")
+	_, err := ed.Change(ctx, large)
+	require.NoError(t, err)
+	old := configuration.NewKeeper(kv, nil)
+	require.NoError(t, old.Pull(ctx))
+	up, _ := old.Since(0)
+	_, err = ed.Change(ctx, func(doc *configuration.Document) error {
+		doc.Zones[0].Out = true
+		return nil
+	})
+	require.NoError(t, err)
+	kp := configuration.NewKeeper(kv, nil)
+	require.NoError(t, kp.Pull(ctx))
+	require.NoError(t, kp.Accept(up))
+	require.EqualValues(t, 2, kp.Revision())
+	up.Head.Revision = 9
+	for hash := range up.Parts {
+		up.Parts[hash] = []byte("{}")
+	}
+	require.Error(t, kp.Accept(up), "a damaged part is refused")
+	require.EqualValues(t, 2, kp.Revision())
+}
+
+func TestInvalidChangeListsEveryProblem(t *testing.T) {
+	ed := configuration.NewEditor(keyvalue.New(clockwork.NewFakeClock()), "a")
+	_, err := ed.Change(context.Background(), func(doc *configuration.Document) error {
+		doc.Classes = []configuration.Class{{Name: "c", Model: "none", FirstToken: settings.Duration(time.Second)}}
+		doc.Endpoints = []configuration.Endpoint{{Name: "e", Address: "host:80", Zone: "none", Model: "none"}}
+		return nil
+	})
+	var ie *configuration.InvalidError
+	require.ErrorAs(t, err, &ie)
+	require.Len(t, ie.Problems(), 4)
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -150,7 +150,14 @@
 	if po.tls == nil {
 		return conn, nil
 	}
-	tc := tls.Client(conn, po.tls)
+	name, _, err := net.SplitHostPort(address)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	conf := po.tls.Clone()
+	conf.ServerName = name
+	tc := tls.Client(conn, conf)
 	if err = tc.HandshakeContext(ctx); err != nil {
 		_ = conn.Close()
 		return nil, err
