membership: repair unequal tables by buckets

Cause: 320 hosts used 5620 to 6191 B/s (load control) although their tables were equal: after all hosts had started at once each was still sending 320 records on, 11 times each. Without any request gossip alone took 2514 B/s. Whole tables of 30 KB were the only repair. Ruled out: false suspicion (no incarnation changed during the measurement). Change: two unequal tables are compared by 32 buckets and only differing ones are sent; at most 32 records are being sent on at a time.

--- a/internal/membership/gossiper.go
+++ b/internal/membership/gossiper.go
@@ -81,7 +81,12 @@
 		Revision uint64   `json:"r"`
 		Members  []Member `json:"m,omitempty"`
 		Facts    []Fact   `json:"x,omitempty"`
-		Full     bool     `json:"u,omitempty"`
+		// Buckets, if present, asks for the records in which the two tables differ.
+		Buckets []uint32 `json:"b,omitempty"`
+		// Want names the buckets whose records the answering host lacks in part.
+		Want []int `json:"w,omitempty"`
+		// IsRepair says that Members are records in which the two tables differ.
+		IsRepair bool `json:"u,omitempty"`
 	}
 
 	probeRequest struct {
@@ -94,7 +99,7 @@
 )
 
 // unequalRounds is how many exchanges in a row with one host may leave the two tables unequal
-// before all records are sent.
+// before the records in which they differ are sent.
 const unequalRounds = 2
 
 // NewGossiper returns a gossiper over table.
@@ -196,7 +201,12 @@
 		return nil, err
 	}
 	gs.take(ctx, msg)
-	reply := gs.compose(msg.Full)
+	reply := gs.compose(false)
+	if msg.Buckets != nil {
+		reply.Want = gs.table.Differing(msg.Buckets)
+		reply.Members = append(reply.Members, gs.table.InBuckets(reply.Want)...)
+		reply.IsRepair = true
+	}
 	if m, ok := gs.table.Get(msg.From.Name); ok {
 		reply.accuse(m)
 	}
@@ -223,7 +233,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var reply message
-	msg := gs.compose(gs.isFullDue(address))
+	msg := gs.compose(gs.isRepairDue(address))
 	if m, ok := gs.table.at(address); ok {
 		msg.accuse(m)
 	}
@@ -231,15 +241,32 @@
 		return err
 	}
 	gs.take(ctx, reply)
+	if len(reply.Want) > 0 {
+		return gs.repair(ctx, address, reply.Want)
+	}
 	gs.compare(address, reply.Hash)
 	return nil
 }
 
-func (gs *Gossiper) compose(isFull bool) message {
-	msg := message{From: gs.table.Self(), Revision: gs.opts.Revision(), Full: isFull}
+// repair sends the records of the buckets in which the other host's table differs.
+func (gs *Gossiper) repair(ctx context.Context, address string, buckets []int) error {
+	msg := gs.compose(false)
+	msg.Members = gs.table.InBuckets(buckets)
+	msg.IsRepair = true
+	var reply message
+	if err := gs.opts.Caller.Call(ctx, address, MethodGossip, msg, &reply); err != nil {
+		return err
+	}
+	gs.take(ctx, reply)
+	return nil
+}
+
+func (gs *Gossiper) compose(isRepair bool) message {
+	msg := message{From: gs.table.Self(), Revision: gs.opts.Revision()}
 	msg.Members, msg.Facts = gs.table.Pending(updatesPerRound)
-	if isFull {
-		msg.Members = gs.table.Members()
+	if isRepair {
+		msg.Buckets = gs.table.Buckets()
+		msg.Members = append(msg.Members, msg.From)
 	}
 	msg.From = Member{Name: msg.From.Name, Incarnation: msg.From.Incarnation, State: msg.From.State}
 	msg.Hash = uint32(gs.table.Hash())
@@ -254,7 +281,7 @@
 		msg.Members = append(msg.Members, m)
 	}
 	merge := gs.table.Merge
-	if msg.Full {
+	if msg.IsRepair {
 		merge = gs.table.MergeAll
 	}
 	isNew := merge(msg.Members, msg.Facts)
@@ -279,7 +306,7 @@
 	gs.unequal[address]++
 }
 
-func (gs *Gossiper) isFullDue(address string) bool {
+func (gs *Gossiper) isRepairDue(address string) bool {
 	gs.mu.Lock()
 	defer gs.mu.Unlock()
 	if gs.table.Len() == 1 {
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -3,11 +3,13 @@
 import (
 	"maps"
 	"math/bits"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/rendezvous"
 )
 
 const (
@@ -17,6 +19,10 @@
 	deadRetention = 10 * time.Minute
 	// factRetention is how long a fact is remembered, so that it is not spread twice.
 	factRetention = 10 * time.Minute
+	// bucketCount is how many buckets two unequal tables are compared by.
+	bucketCount = 32
+	// spreadLimit is the most records that are being sent on at a time.
+	spreadLimit = 32
 	// extraSends is how often an update is sent on, above log2 of the fleet.
 	extraSends = 2
 )
@@ -93,6 +99,41 @@
 	return out
 }
 
+// Buckets returns a sum over the records of each bucket. Equal tables have equal sums.
+func (tb *Table) Buckets() []uint32 {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	out := make([]uint32, bucketCount)
+	for name, rec := range tb.members {
+		out[bucketOf(name)] ^= uint32(rec.member.hash())
+	}
+	return out
+}
+
+// Differing returns the buckets whose sums differ from those of another host.
+func (tb *Table) Differing(sums []uint32) []int {
+	var out []int
+	for i, sum := range tb.Buckets() {
+		if i < len(sums) && sums[i] != sum {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// InBuckets returns the records of the given buckets in the order of their names.
+func (tb *Table) InBuckets(buckets []int) []Member {
+	var out []Member
+	for _, m := range tb.Members() {
+		if slices.Contains(buckets, bucketOf(m.Name)) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func bucketOf(name string) int { return int(rendezvous.Hash(name) % bucketCount) }
+
 // Get returns the record of a host.
 func (tb *Table) Get(name string) (Member, bool) {
 	tb.mu.Lock()
@@ -138,8 +179,8 @@
 	return tb.hash
 }
 
-// MergeAll takes in all records of another host. They are not sent on: a host that lacks them
-// sees that its hash differs.
+// MergeAll takes in records that another host sent because its table differs. They are not sent
+// on: a host that lacks them sees that its hash differs.
 func (tb *Table) MergeAll(ms []Member, fs []Fact) bool {
 	tb.mu.Lock()
 	before := maps.Clone(tb.spread.members)
@@ -275,7 +316,10 @@
 	}
 	tb.members[m.Name] = record{member: m, changed: tb.clk.Now()}
 	tb.hash ^= m.hash()
-	tb.spread.members[m.Name] = 0
+	// While very many hosts change, comparing tables is cheaper than sending each record on.
+	if len(tb.spread.members) < spreadLimit || m.Name == tb.self {
+		tb.spread.members[m.Name] = 0
+	}
 	tb.view.Store(nil)
 }
 
