--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/bergamotway/bergamotway/internal/clock"
 )
 
 type (
@@ -63,7 +65,7 @@
 	sw.set = set
 	sw.silentSince = time.Time{}
 	if set.SilenceOpen {
-		sw.silentSince = time.Now()
+		sw.silentSince = clock.System().Now()
 	}
 }
 
@@ -84,7 +86,7 @@
 			drop(fc)
 			return
 		}
-		time.Sleep(time.Duration(set.DelayMs) * time.Millisecond)
+		<-clock.System().After(time.Duration(set.DelayMs) * time.Millisecond)
 		h(fc)
 		if set.LoseAnswers {
 			drop(fc)
