--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -7,6 +7,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,7 +93,25 @@
 	}
 	me.spent, err = om.Float64Counter("bergamotway.accelerator.time", metric.WithUnit("s"),
 		metric.WithDescription("Estimated accelerator time by class."))
-	return me, errors.Wrap(err, "telemetry: accelerator time")
+	if err != nil {
+		return nil, errors.Wrap(err, "telemetry: accelerator time")
+	}
+	_, err = om.Float64ObservableCounter("bergamotway.process.cpu", metric.WithUnit("s"),
+		metric.WithDescription("Processor time of the process."),
+		metric.WithFloat64Callback(func(_ context.Context, ob metric.Float64Observer) error {
+			ob.Observe(processorTime().Seconds())
+			return nil
+		}))
+	return me, errors.Wrap(err, "telemetry: processor time")
+}
+
+// processorTime returns the user and system time of the process so far; zero if it is not known.
+func processorTime() time.Duration {
+	var ru syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &ru); err != nil {
+		return 0
+	}
+	return time.Duration(ru.Utime.Nano() + ru.Stime.Nano())
 }
 
 // Handler returns the scrape page.
--- a/programs/bergamotctl/change.go
+++ b/programs/bergamotctl/change.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err = fmt.Fprintf(cmd.Root().Writer, "accepted revision %d\n", revision); err != nil {
+	if err = printAccepted(cmd, revision); err != nil {
 		return err
 	}
 	if !cmd.Bool("wait") {
@@ -31,6 +31,14 @@
 	return waitInForce(ctx, cmd, revision)
 }
 
+func printAccepted(cmd *cli.Command, revision uint64) error {
+	if cmd.Bool("json") {
+		return printJSON(cmd, map[string]uint64{"accepted-revision": revision})
+	}
+	_, err := fmt.Fprintf(cmd.Root().Writer, "accepted revision %d\n", revision)
+	return err
+}
+
 func applyCommand() *cli.Command {
 	return &cli.Command{
 		Name: "apply", Usage: "replace the configuration by a file, JSON with comments", ArgsUsage: "FILE",
@@ -134,12 +142,110 @@
 	return &cli.Command{
 		Name: "endpoint", Usage: "see and change endpoints",
 		Commands: []*cli.Command{
+			{
+				Name: "set", Usage: "create or change an endpoint", ArgsUsage: "ENDPOINT",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "address", Usage: "its ip:port"},
+					&cli.StringFlag{Name: "zone", Usage: "its availability zone"},
+					&cli.StringFlag{Name: "model", Usage: "the model that it serves"},
+					&cli.StringFlag{Name: "provider", Usage: "its provider"},
+					&cli.BoolFlag{Name: "checks-fencing", Usage: "it refuses orders with an old fencing number"},
+				},
+				Action: setEndpoint,
+			},
+			{
+				Name: "remove", Usage: "remove an endpoint", ArgsUsage: "ENDPOINT",
+				Action: func(ctx context.Context, cmd *cli.Command) error {
+					return change(ctx, cmd, func(doc *configuration.Document) error {
+						n := len(doc.Endpoints)
+						doc.Endpoints = slices.DeleteFunc(doc.Endpoints, func(e configuration.Endpoint) bool { return e.Name == cmd.Args().First() })
+						if len(doc.Endpoints) == n {
+							return &notFoundError{kind: "endpoint", name: cmd.Args().First()}
+						}
+						return nil
+					})
+				},
+			},
 			leaveEndpoint("leave", "give an endpoint no new work", true),
 			leaveEndpoint("return", "give an endpoint new work again", false),
 		},
 	}
 }
 
+func setEndpoint(ctx context.Context, cmd *cli.Command) error {
+	name := cmd.Args().First()
+	return change(ctx, cmd, func(doc *configuration.Document) error {
+		i := slices.IndexFunc(doc.Endpoints, func(e configuration.Endpoint) bool { return e.Name == name })
+		if i < 0 {
+			doc.Endpoints = append(doc.Endpoints, configuration.Endpoint{Name: name})
+			i = len(doc.Endpoints) - 1
+		}
+		e := &doc.Endpoints[i]
+		setText(cmd, "address", &e.Address)
+		setText(cmd, "zone", &e.Zone)
+		setText(cmd, "model", &e.Model)
+		setText(cmd, "provider", &e.Provider)
+		if cmd.IsSet("checks-fencing") {
+			e.ChecksFencing = cmd.Bool("checks-fencing")
+		}
+		return nil
+	})
+}
+
+func modelCommand() *cli.Command {
+	return &cli.Command{
+		Name: "model", Usage: "see and change models",
+		Commands: []*cli.Command{
+			{
+				Name: "set", Usage: "create or change a model", ArgsUsage: "MODEL",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "version", Usage: "the weight version of a new model"},
+					&cli.IntFlag{Name: "window", Usage: "the longest history, in tokens"},
+					&cli.FloatFlag{Name: "prefill-rate", Usage: "the speed of reading, in tokens/s"},
+					&cli.IntFlag{Name: "cold-limit", Usage: "the most requests on an endpoint in cold start"},
+					&cli.DurationFlag{Name: "cold-time", Usage: "the length of a cold start"},
+				},
+				Action: setModel,
+			},
+		},
+	}
+}
+
+// setModel creates or changes a model. The version of a model in service changes by a rollout only.
+func setModel(ctx context.Context, cmd *cli.Command) error {
+	name := cmd.Args().First()
+	return change(ctx, cmd, func(doc *configuration.Document) error {
+		i := slices.IndexFunc(doc.Models, func(m configuration.Model) bool { return m.Name == name })
+		if i < 0 {
+			doc.Models = append(doc.Models, configuration.Model{Name: name, Version: cmd.String("version")})
+			i = len(doc.Models) - 1
+		}
+		m := &doc.Models[i]
+		if cmd.IsSet("version") && cmd.String("version") != m.Version {
+			return &usageError{problem: "the version of a model in service changes by rollout"}
+		}
+		if cmd.IsSet("window") {
+			m.Window = cmd.Int("window")
+		}
+		if cmd.IsSet("prefill-rate") {
+			m.PrefillRate = cmd.Float("prefill-rate")
+		}
+		if cmd.IsSet("cold-limit") {
+			m.ColdLimit = cmd.Int("cold-limit")
+		}
+		if cmd.IsSet("cold-time") {
+			m.ColdTime = settings.Duration(cmd.Duration("cold-time"))
+		}
+		return nil
+	})
+}
+
+func setText(cmd *cli.Command, flag string, target *string) {
+	if cmd.IsSet(flag) {
+		*target = cmd.String(flag)
+	}
+}
+
 func leaveEndpoint(name, usage string, leaving bool) *cli.Command {
 	return &cli.Command{
 		Name: name, Usage: usage, ArgsUsage: "ENDPOINT",
--- a/programs/bergamotctl/main.go
+++ b/programs/bergamotctl/main.go
@@ -49,7 +49,7 @@
 			&cli.BoolFlag{Name: "wait", Usage: "wait until a change is in force on all named hosts"},
 		},
 		Commands: []*cli.Command{
-			applyCommand(), showCommand(), classCommand(), teamCommand(), endpointCommand(), zoneCommand(),
+			applyCommand(), showCommand(), classCommand(), teamCommand(), modelCommand(), endpointCommand(), zoneCommand(),
 			hostCommand(), rolloutCommand(), providerCommand(), bookingCommand(), statusCommand(), watchCommand(),
 		},
 	}
--- a/programs/load/demo/demo.go
+++ b/programs/load/demo/demo.go
@@ -289,6 +289,12 @@
 	return string(data), nil
 }
 
+// Post sends a chat request and returns the body of its answer.
+func (fl *Fleet) Post(eh EntryHost, body string) ([]byte, error) {
+	_, data, err := fl.post(eh, "/v1/chat/completions", "", []byte(body))
+	return data, err
+}
+
 func (fl *Fleet) post(eh EntryHost, path, key string, body []byte) (int, []byte, error) {
 	req, rsp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
--- a/programs/load/demo/process_test.go
+++ b/programs/load/demo/process_test.go
@@ -219,6 +219,45 @@
 	out, err = fl.Control(context.Background(), "status")
 	require.NoError(t, err)
 	require.Contains(t, out, "ready")
+	require.Equal(t, 2, code("model", "set", "assistant", "--version", "v9"), "a version changes by rollout")
+	out, err = fl.Control(context.Background(), "--json", "model", "set", "small", "--version", "v1", "--cold-limit", "3")
+	require.NoError(t, err)
+	require.Contains(t, out, `"accepted-revision"`)
+	_, err = fl.Control(context.Background(), "endpoint", "set", "engine-9", "--address", "127.0.0.1:9", "--zone", "mid-a", "--model", "small")
+	require.NoError(t, err)
+	_, err = fl.Control(context.Background(), "endpoint", "remove", "engine-9")
+	require.NoError(t, err)
+	_, metrics, err := fasthttp.GetTimeout(nil, "http://"+fl.Hosts[0].Operator+"/metrics", 5*time.Second)
+	require.NoError(t, err)
+	require.Contains(t, string(metrics), "bergamotway_process_cpu")
 	faults(t, fl.KeyValue, `{"lose-answers": true}`)
 	require.Equal(t, 1, code("zone", "in", "mid-a"), "the service gives no answer to the first read")
 }
+
+// TestSecondSignalCuts sends a second signal while a long stream runs: the host says that it cut, and
+// exits with 3.
+func TestSecondSignalCuts(t *testing.T) {
+	fl := startFleet(t)
+	name := fl.Hosts[0].Name
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, _ = fl.Post(fl.Hosts[0], demo.LongChatBody("draft", "hello", 100_000))
+	}()
+	require.NoError(t, demo.Await(10*time.Second, "nothing runs", func() bool { return strings.Contains(status(t, fl.Hosts[0]), `"running": 1`) }))
+	require.NoError(t, fl.Signal(name, syscall.SIGTERM))
+	require.NoError(t, demo.Await(10*time.Second, "the host does not leave", func() bool { return !isReady(fl.Hosts[0]) }))
+	err := fl.Stop(name)
+	var ee *exec.ExitError
+	require.ErrorAs(t, err, &ee)
+	require.Equal(t, 3, ee.ExitCode())
+	require.Contains(t, fl.Logs(name), "Stop cut requests.")
+	<-done
+}
+
+func status(t *testing.T, eh demo.EntryHost) string {
+	t.Helper()
+	_, body, err := fasthttp.GetTimeout(nil, "http://"+eh.Operator+"/status", 5*time.Second)
+	require.NoError(t, err)
+	return string(body)
+}
