--- /dev/null
+++ b/internal/history/example_test.go
@@ -0,0 +1,20 @@
+package history_test
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/bergamotway/bergamotway/internal/history"
+)
+
+func ExampleNames() {
+	text := strings.Repeat("steel and edge. ", 2500)
+	one := history.Names(history.Scope{Team: "hartlebury", Model: "m", Version: "v1"}, text)
+	two := history.Names(history.Scope{Team: "cascade", Model: "m", Version: "v1"}, text)
+	fmt.Println(len(one), one[0] == two[0])
+	longer := history.Names(history.Scope{Team: "hartlebury", Model: "m", Version: "v1"}, text+"Which edge?")
+	fmt.Println(longer[1] == one[1])
+	// Output:
+	// 2 false
+	// true
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -28,7 +28,7 @@
 	Link struct {
 		// Stored is how many tokens of the history, from its start, are kept there.
 		Stored int
-		// Rate is what the link carries now, in bytes/s. Zero means that it cannot be used.
+		// Rate is what the link carries now, in bytes/s. Below 1 it cannot be used.
 		Rate float64
 		// Backlog is how many bytes wait on the link.
 		Backlog float64
@@ -79,6 +79,8 @@
 const (
 	// linkPrice is what a second of link is worth in accelerator seconds.
 	linkPrice = 0.15
+	// minLinkRate is the least rate of a link that is used, in bytes/s.
+	minLinkRate = 1
 	// runningDelay is how much one generating answer slows the reading, as a share.
 	runningDelay = 0.002
 	// nearBest is how far above the best score a plan still takes part in the random choice.
@@ -118,7 +120,7 @@
 	resident := min(ep.Resident, wk.Tokens)
 	best := recomputePlan(wait, rate, wk.Tokens-resident)
 	available := min(ep.Link.Stored, wk.Tokens) - resident
-	if ep.Link.Rate <= 0 || available <= 0 {
+	if ep.Link.Rate < minLinkRate || available <= 0 {
 		return best, true
 	}
 	rest := wk.Tokens - resident - available
@@ -220,7 +222,7 @@
 	if head <= 0 {
 		return 0
 	}
-	n := min(int(head), available)
+	n := int(min(head, float64(available)))
 	if piece > 1 {
 		n -= n % piece
 	}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -50,6 +50,18 @@
 	require.Equal(t, 0, pl.Endpoint)
 }
 
+// TestAlmostDeadLink gives a link that carries next to nothing: the estimate must not overflow.
+func TestAlmostDeadLink(t *testing.T) {
+	for _, rate := range []float64{7.466108948025751e-301, 1e-9, 1, 1000} {
+		pl, ok := route.Estimate(route.Endpoint{
+			PrefillRate: 1, Backlog: 1, Link: route.Link{Stored: 3808, Rate: rate},
+		}, work)
+		require.True(t, ok)
+		require.GreaterOrEqual(t, pl.FirstToken, 1.0)
+		require.Equal(t, work.Tokens, pl.Import+pl.Recompute)
+	}
+}
+
 func TestNoCandidate(t *testing.T) {
 	_, ok := route.Choose([]route.Endpoint{{}, {}}, work, 1)
 	require.False(t, ok)
--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,44 @@
+package telemetry_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/refusal"
+	"github.com/bergamotway/bergamotway/internal/telemetry"
+)
+
+// TestScrapePageHasTheNamesOfTheOperatorsPage checks the names that docs/OPERATORS.md gives.
+func TestScrapePageHasTheNamesOfTheOperatorsPage(t *testing.T) {
+	me, err := telemetry.New()
+	require.NoError(t, err)
+	me.Refused(refusal.NoEndpoint, "crew")
+	me.Retried("silent", "crew")
+	me.Dispatched("crew")
+	me.Tokens(telemetry.Recomputed, 5)
+	me.FirstToken("crew", time.Second)
+	me.PlatformCall(platform.PurposeBooking, true)
+	me.ControlBytes(5, 7)
+	me.Moved("import", 9)
+	me.Spent("crew", 1)
+	rec := httptest.NewRecorder()
+	me.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	page := rec.Body.String()
+	for _, name := range []string{
+		`bergamotway_refusals_total{`, `reason="no-endpoint"`, `bergamotway_retries_total{`, `bergamotway_dispatches_total{`,
+		`bergamotway_history_tokens_total{`, `source="recomputed"`, `bergamotway_first_token_seconds_bucket{`,
+		`bergamotway_platform_calls_total{`, `bergamotway_control_bytes_total{`, `bergamotway_link_bytes_total{`,
+		`bergamotway_accelerator_time_seconds_total{`, `bergamotway_process_cpu_seconds_total`,
+	} {
+		require.Contains(t, page, name)
+	}
+	bytes, reads, writes := me.Totals()
+	require.EqualValues(t, 12, bytes)
+	require.Zero(t, reads)
+	require.EqualValues(t, 1, writes)
+}
