bergamotctl: find or add items in one place

No behaviour changed. Run: make lint 0 issues; TestControlExitCodes and TestSecondSignalCuts pass (7.3 s).

--- a/programs/bergamotctl/change.go
+++ b/programs/bergamotctl/change.go
@@ -89,12 +89,8 @@
 func setClass(ctx context.Context, cmd *cli.Command) error {
 	name := cmd.Args().First()
 	return change(ctx, cmd, func(doc *configuration.Document) error {
-		i := slices.IndexFunc(doc.Classes, func(c configuration.Class) bool { return c.Name == name })
-		if i < 0 {
-			doc.Classes = append(doc.Classes, configuration.Class{Name: name})
-			i = len(doc.Classes) - 1
-		}
-		c := &doc.Classes[i]
+		fresh := configuration.Class{Name: name}
+		c := findOrAdd(&doc.Classes, fresh, func(c configuration.Class) bool { return c.Name == name })
 		if cmd.IsSet("model") {
 			c.Model = cmd.String("model")
 		}
@@ -175,12 +171,8 @@
 func setEndpoint(ctx context.Context, cmd *cli.Command) error {
 	name := cmd.Args().First()
 	return change(ctx, cmd, func(doc *configuration.Document) error {
-		i := slices.IndexFunc(doc.Endpoints, func(e configuration.Endpoint) bool { return e.Name == name })
-		if i < 0 {
-			doc.Endpoints = append(doc.Endpoints, configuration.Endpoint{Name: name})
-			i = len(doc.Endpoints) - 1
-		}
-		e := &doc.Endpoints[i]
+		fresh := configuration.Endpoint{Name: name}
+		e := findOrAdd(&doc.Endpoints, fresh, func(e configuration.Endpoint) bool { return e.Name == name })
 		setText(cmd, "address", &e.Address)
 		setText(cmd, "zone", &e.Zone)
 		setText(cmd, "model", &e.Model)
@@ -215,12 +207,8 @@
 func setModel(ctx context.Context, cmd *cli.Command) error {
 	name := cmd.Args().First()
 	return change(ctx, cmd, func(doc *configuration.Document) error {
-		i := slices.IndexFunc(doc.Models, func(m configuration.Model) bool { return m.Name == name })
-		if i < 0 {
-			doc.Models = append(doc.Models, configuration.Model{Name: name, Version: cmd.String("version")})
-			i = len(doc.Models) - 1
-		}
-		m := &doc.Models[i]
+		fresh := configuration.Model{Name: name, Version: cmd.String("version")}
+		m := findOrAdd(&doc.Models, fresh, func(m configuration.Model) bool { return m.Name == name })
 		if cmd.IsSet("version") && cmd.String("version") != m.Version {
 			return &usageError{problem: "the version of a model in service changes by rollout"}
 		}
@@ -240,6 +228,16 @@
 	})
 }
 
+// findOrAdd returns the item that matches, and adds fresh if there is none.
+func findOrAdd[T any](items *[]T, fresh T, matches func(T) bool) *T {
+	i := slices.IndexFunc(*items, matches)
+	if i < 0 {
+		*items = append(*items, fresh)
+		i = len(*items) - 1
+	}
+	return &(*items)[i]
+}
+
 func setText(cmd *cli.Command, flag string, target *string) {
 	if cmd.IsSet(flag) {
 		*target = cmd.String(flag)
