gateway, platform: serve the operators' routes on the users' platform

Cause: the product spoke its own interface only, and could not start on the platform. Change: platform/ decodes the metadata store, the operators' configuration, endpoints' entries, headers, cache stores and orders; gateway, attempt, catalog, fleet, placement, cachedir, peering, leadership, upgrade, metastore and node are the product's path for routes. docs/design/platform.md says what lies where and what became needless.

--- /dev/null
+++ b/internal/cachedir/cachedir.go
@@ -0,0 +1,298 @@
+// Package cachedir knows which prompt parts lie whole in which cache store.
+package cachedir
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bergamotway/bergamotway/internal/catalog"
+	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/rendezvous"
+)
+
+const (
+	// savingFor is how long a part counts as being saved before its store has reported it.
+	savingFor = 3 * time.Second
+	// fetchWithin bounds a fetch; the endpoint then reads the part instead.
+	fetchWithin = 2 * time.Second
+	// smallPart is up to which length a part goes to the stores that start a transfer soonest,
+	// in tokens. Longer ones would fill these stores at once.
+	smallPart = 1000
+	// fillShare is up to which share a store is filled.
+	fillShare = 0.97
+)
+
+type (
+	// Part identifies KV cache: the salt separates versions and exclusive teams.
+	Part struct {
+		Salt string
+		ID   string
+	}
+
+	// Change is one event of a store.
+	Change struct {
+		Part
+		// Added reports that the part is whole now; else it is gone.
+		Added bool
+		// Tokens is the length of the part.
+		Tokens int
+	}
+
+	// Events is an answer to a question for events.
+	Events struct {
+		// Epoch changes when the store starts anew, without its content.
+		Epoch uint64
+		// Next is where the next question continues.
+		Next uint64
+		// Lost reports that events before these are gone.
+		Lost bool
+		// Clock is the endpoints' time in milliseconds; zero if it is not said.
+		Clock int64
+		// Changes are in order.
+		Changes []Change
+	}
+
+	// Listing is all that a store holds whole.
+	Listing struct {
+		Epoch uint64
+		Next  uint64
+		Clock int64
+		Held  []Change
+	}
+
+	// Source asks cache stores what they hold. Implementations are safe for concurrent use.
+	Source interface {
+		// Events waits at most wait for events after since.
+		Events(ctx context.Context, address string, since uint64, wait time.Duration) (Events, error)
+		// List returns all parts.
+		List(ctx context.Context, address string) (Listing, error)
+	}
+
+	// Directory is safe for concurrent use. New makes one.
+	Directory struct {
+		ck clock.Clock
+
+		mu     sync.Mutex
+		stores map[string]*store
+	}
+
+	// Location is a store that holds a part.
+	Location struct {
+		catalog.CacheStore
+		// Until ends the permission to fetch, in milliseconds of the endpoints' clock; zero means
+		// that the clock is not known.
+		Until int64
+	}
+
+	store struct {
+		info   catalog.CacheStore
+		epoch  uint64
+		next   uint64
+		synced bool
+		parts  map[Part]int
+		used   int
+		saving map[Part]saving
+		clock  int64
+		heard  time.Time
+	}
+
+	saving struct {
+		tokens int
+		until  time.Time
+	}
+)
+
+// New returns a directory without stores.
+func New(ck clock.Clock) *Directory {
+	return &Directory{ck: ck, stores: make(map[string]*store)}
+}
+
+// Configure sets the stores. What is known of stores that stay is kept.
+func (di *Directory) Configure(infos []catalog.CacheStore) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	stores := make(map[string]*store, len(infos))
+	for _, info := range infos {
+		so := di.stores[info.Address]
+		if so == nil {
+			so = &store{parts: make(map[Part]int), saving: make(map[Part]saving)}
+		}
+		so.info = info
+		stores[info.Address] = so
+	}
+	di.stores = stores
+}
+
+// Next returns where the next question for events continues, and whether a listing is needed first.
+func (di *Directory) Next(address string) (since uint64, synced bool) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if so := di.stores[address]; so != nil {
+		return so.next, so.synced
+	}
+	return 0, false
+}
+
+// Apply records events of a store. It reports false if a listing is needed to go on.
+func (di *Directory) Apply(address string, ev Events) bool {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	so := di.stores[address]
+	if so == nil {
+		return true
+	}
+	if ev.Lost || (so.epoch != 0 && so.epoch != ev.Epoch) {
+		so.reset()
+		return false
+	}
+	so.epoch, so.next, so.synced = ev.Epoch, ev.Next, true
+	so.hear(ev.Clock, di.ck.Now())
+	for _, ch := range ev.Changes {
+		so.change(ch)
+	}
+	return true
+}
+
+// Replace records all that a store holds.
+func (di *Directory) Replace(address string, li Listing) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	so := di.stores[address]
+	if so == nil {
+		return
+	}
+	so.reset()
+	so.epoch, so.next, so.synced = li.Epoch, li.Next, true
+	so.hear(li.Clock, di.ck.Now())
+	for _, ch := range li.Held {
+		ch.Added = true
+		so.change(ch)
+	}
+}
+
+// Lost forgets what a store holds, because it does not answer and may have started anew.
+func (di *Directory) Lost(address string) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	if so := di.stores[address]; so != nil {
+		so.reset()
+	}
+}
+
+// Find returns the stores that hold a part whole.
+func (di *Directory) Find(pt Part) []Location {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	var out []Location
+	now := di.ck.Now()
+	for _, so := range di.stores {
+		if _, ok := so.parts[pt]; ok && so.synced && so.clock > 0 {
+			until := so.clock + now.Sub(so.heard).Milliseconds() + fetchWithin.Milliseconds()
+			out = append(out, Location{CacheStore: so.info, Until: until})
+		}
+	}
+	slices.SortFunc(out, func(a, b Location) int {
+		if a.Address < b.Address {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Claim returns the store in which a part of a length should be saved now, and counts it as being
+// saved there. It returns "" if the part is kept or being saved already, or no store has room.
+func (di *Directory) Claim(pt Part, tokens int) string {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	now := di.ck.Now()
+	var (
+		best  *store
+		score float64
+	)
+	soonest := di.soonest()
+	for address, so := range di.stores {
+		if _, ok := so.parts[pt]; ok {
+			return ""
+		}
+		if sv, ok := so.saving[pt]; ok && now.Before(sv.until) {
+			return ""
+		}
+		if !so.synced || so.reserved(now)+tokens > int(float64(so.info.CapacityTokens)*fillShare) {
+			continue
+		}
+		// Weighted rendezvous: stores get parts in proportion to their room.
+		unit := float64(rendezvous.Score(rendezvous.Hash(pt.ID), rendezvous.Hash(address))>>11)/(1<<53) + 1e-12
+		sc := -float64(so.info.CapacityTokens) / logOf(unit)
+		if (tokens <= smallPart) == (so.info.Setup <= soonest) {
+			sc += preferred
+		}
+		if best == nil || sc > score {
+			best, score = so, sc
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	best.saving[pt] = saving{tokens: tokens, until: now.Add(savingFor)}
+	return best.info.Address
+}
+
+// Known returns how many parts and tokens are known to lie in the stores.
+func (di *Directory) Known() (parts, tokens int) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	for _, so := range di.stores {
+		parts += len(so.parts)
+		tokens += so.used
+	}
+	return parts, tokens
+}
+
+func (di *Directory) soonest() time.Duration {
+	least := time.Duration(-1)
+	for _, so := range di.stores {
+		if least < 0 || so.info.Setup < least {
+			least = so.info.Setup
+		}
+	}
+	return least
+}
+
+func (so *store) reset() {
+	so.synced, so.epoch, so.next, so.used = false, 0, 0, 0
+	clear(so.parts)
+	clear(so.saving)
+}
+
+func (so *store) hear(ms int64, now time.Time) {
+	if ms > 0 {
+		so.clock, so.heard = ms, now
+	}
+}
+
+func (so *store) change(ch Change) {
+	if had, ok := so.parts[ch.Part]; ok {
+		so.used -= had
+		delete(so.parts, ch.Part)
+	}
+	if ch.Added {
+		so.parts[ch.Part] = ch.Tokens
+		so.used += ch.Tokens
+	}
+	delete(so.saving, ch.Part)
+}
+
+func (so *store) reserved(now time.Time) int {
+	sum := so.used
+	for pt, sv := range so.saving {
+		if now.After(sv.until) {
+			delete(so.saving, pt)
+			continue
+		}
+		sum += sv.tokens
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/gateway/plan.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bergamotway/bergamotway/internal/cachedir"
+	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/placement"
+)
+
+const (
+	// crossZoneFactor is how much longer a transfer between zones takes.
+	crossZoneFactor = 2
+	bitsPerByte     = 8
+)
+
+// plan is an endpoint with what the request is sent with.
+type plan struct {
+	view     fleet.View
+	load     fleet.Load
+	delivery Delivery
+	estimate time.Duration
+	options  int
+}
+
+func (pl plan) fields() logrus.Fields {
+	sum := pl.view.Sum()
+	return logrus.Fields{
+		"endpoint": pl.view.ID, "estimate-ms": milliseconds(pl.estimate), "options": pl.options,
+		"running": sum.Requests, "tokens": sum.Tokens, "unread": sum.Unread,
+	}
+}
+
+// choose finds the endpoint for the next attempt; ok is false if there is none.
+func (fw *forwarding) choose(left time.Duration) (pl plan, ok bool) {
+	gw, rq := fw.gw, fw.rq
+	views := gw.opts.Fleet.Views(rq.service.Name)
+	job := placement.Job{ID: rq.ID, Zone: gw.opts.Zone, Tried: fw.tried, Model: rq.Model}
+	if rq.service.Engine == nil {
+		job.Model = ""
+	}
+	cands := make([]placement.Candidate, len(views))
+	for i, vw := range views {
+		cands[i] = placement.Candidate{View: vw}
+	}
+	if job.Model != "" {
+		job.Tokens = rq.tokens()
+		job.Version = gw.opts.Weights(rq.Model)
+		job.Only = job.Version > 0 && gw.opts.Expired(rq.Model)
+		if fw.pinned > 0 {
+			job.Version, job.Only = fw.pinned, true
+		}
+		fw.weigh(cands)
+	}
+	ch, ok := placement.Choose(job, cands)
+	if !ok {
+		return plan{}, false
+	}
+	ca := cands[ch.Index]
+	pl = plan{
+		view:     ca.View,
+		load:     fleet.Load{Requests: 1, Tokens: job.Tokens, Unread: ca.Read},
+		estimate: ch.Estimate,
+		options:  len(cands),
+		delivery: Delivery{Instance: ca.ID, Left: left, Urgency: rq.urgency(), Version: fw.pinned},
+	}
+	if rq.team != nil {
+		pl.delivery.Team = rq.team.Name
+	}
+	if job.Model != "" {
+		fw.prepare(&pl, ca)
+	}
+	return pl, true
+}
+
+// weigh works out for each candidate what it would read and fetch.
+func (fw *forwarding) weigh(cands []placement.Candidate) {
+	rq, en := fw.rq, fw.rq.service.Engine
+	known := make(map[uint64][][]cachedir.Location)
+	for i := range cands {
+		ca := &cands[i]
+		ca.Capacity = en.CapacityTokens
+		version, _ := ca.Version(rq.Model)
+		if _, ok := known[version]; !ok {
+			salt := fw.salt(version)
+			located := make([][]cachedir.Location, len(rq.Parts))
+			for k := range max(0, len(rq.Parts)-1) {
+				located[k] = fw.gw.opts.Cache.Find(cachedir.Part{Salt: salt, ID: rq.Parts[k].ID})
+			}
+			known[version] = located
+		}
+		located := known[version]
+		ca.Read = rq.PromptTokens
+		for k := range max(0, len(rq.Parts)-1) {
+			pt := rq.Parts[k]
+			if fw.gw.opts.Fleet.Resident(ca.ID, fw.salt(version)+pt.ID) {
+				ca.Read -= pt.Tokens
+				continue
+			}
+			if len(located[k]) == 0 {
+				// Parts behind one that has to be read are read as well.
+				break
+			}
+			_, took := nearest(located[k], ca.Zone, pt.Tokens, en.TokenBytes)
+			ca.Fetch += took
+			ca.Read -= pt.Tokens
+		}
+		ca.Read = max(0, ca.Read)
+	}
+}
+
+// prepare names salt, version, and where parts are fetched from and saved to.
+func (fw *forwarding) prepare(pl *plan, ca placement.Candidate) {
+	rq, en := fw.rq, fw.rq.service.Engine
+	version, _ := ca.Version(rq.Model)
+	pl.delivery.Version = version
+	salt := fw.salt(version)
+	pl.delivery.Salt = salt
+	if len(rq.Parts) < 2 {
+		return
+	}
+	fetch := make([]string, len(rq.Parts))
+	save := make([]string, len(rq.Parts))
+	fetches, saves := false, false
+	for k, pt := range rq.Parts[:len(rq.Parts)-1] {
+		cp := cachedir.Part{Salt: salt, ID: pt.ID}
+		if locs := fw.gw.opts.Cache.Find(cp); len(locs) > 0 {
+			lo, _ := nearest(locs, ca.Zone, pt.Tokens, en.TokenBytes)
+			fetch[k], fetches = lo.Address, true
+			pl.delivery.FetchUntil = lo.Until
+		} else if address := fw.gw.opts.Cache.Claim(cp, pt.Tokens); address != "" {
+			save[k], saves = address, true
+		}
+		fw.gw.opts.Fleet.Used(ca.ID, salt+pt.ID, pt.Tokens, en.CapacityTokens)
+	}
+	if fetches {
+		pl.delivery.Fetch = fetch
+	}
+	if saves {
+		pl.delivery.Save = save
+	}
+}
+
+// salt returns the text that separates KV cache of other versions and of exclusive teams.
+func (fw *forwarding) salt(version uint64) string {
+	out := fw.rq.Model + "." + strconv.FormatUint(version, 10)
+	if fw.rq.team != nil && fw.rq.team.Exclusive {
+		out += "." + fw.rq.team.Name
+	}
+	return out
+}
+
+// nearest returns the store from which a part is fetched soonest, and how long that takes.
+func nearest(locs []cachedir.Location, zone string, tokens, tokenBytes int) (best cachedir.Location, least time.Duration) {
+	for i, lo := range locs {
+		seconds := float64(tokens) * float64(tokenBytes) * bitsPerByte / (lo.LinkMbps * 1e6)
+		if lo.Zone != zone {
+			seconds *= crossZoneFactor
+		}
+		took := lo.Setup + time.Duration(seconds*float64(time.Second))
+		if i == 0 || took < least {
+			best, least = lo, took
+		}
+	}
+	return best, least
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,365 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bergamotway/bergamotway/internal/attempt"
+	"github.com/bergamotway/bergamotway/internal/cachedir"
+	"github.com/bergamotway/bergamotway/internal/catalog"
+	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/gateway"
+	"github.com/bergamotway/bergamotway/internal/leadership"
+	"github.com/bergamotway/bergamotway/internal/metastore"
+	"github.com/bergamotway/bergamotway/internal/peering"
+	"github.com/bergamotway/bergamotway/internal/retry"
+	"github.com/bergamotway/bergamotway/internal/telemetry"
+	"github.com/bergamotway/bergamotway/internal/upgrade"
+)
+
+const (
+	// registeredFor is the lease on a host's own item; keepEvery is how often it is renewed.
+	registeredFor = 8 * time.Second
+	keepEvery     = 2500 * time.Millisecond
+	// defaultHeaderBytes and defaultHeaderTime hold before there is a configuration.
+	defaultHeaderBytes = 16 << 10
+	defaultHeaderTime  = 5 * time.Second
+	// idleTime is longer than what operators allow clients, so that a client never meets a
+	// connection that this side is closing.
+	idleTime = 60 * time.Second
+	// memoryShare is the part of the memory at which the collector works harder.
+	memoryShare = 0.7
+	mebibyte    = 1 << 20
+	// stopMargin is how long before the end of a planned stop the process ends by itself.
+	stopMargin = 700 * time.Millisecond
+	// acceptFor is how long a stopping host still takes connections, until it is out of rotation:
+	// two questions a second apart and the time in between.
+	acceptFor = 3200 * time.Millisecond
+	// loadingFor is how long a peer's word that an engine takes weights is believed.
+	loadingFor = 600 * time.Millisecond
+	sweepEvery = time.Second
+)
+
+type (
+	// World is what surrounds a host: the metadata store, the engines and their formats.
+	World struct {
+		Store   metastore.Store
+		Decoder Decoder
+		Codec   gateway.Codec
+		Caches  cachedir.Source
+		Engines upgrade.Engines
+		Meter   *telemetry.Meter
+	}
+
+	// Node is a host that serves clients.
+	Node struct {
+		st       Settings
+		wo       World
+		ck       clock.Clock
+		log      *logrus.Logger
+		fleet    *fleet.Fleet
+		pool     *attempt.Pool
+		cache    *cachedir.Directory
+		gateway  *gateway.Gateway
+		budget   *retry.Windows
+		state    *state
+		seat     *leadership.Seat
+		upgrades *upgrade.Controller
+		exchange *peering.Exchange
+
+		clients  net.Listener
+		ready    net.Listener
+		metrics  net.Listener
+		hosts    atomic.Int64
+		stopping atomic.Bool
+
+		mu        sync.Mutex
+		following map[string]context.CancelFunc
+	}
+)
+
+// New returns a host that listens at its addresses and is ready to Run.
+func New(st Settings, wo World, lg *logrus.Logger) (*Node, error) {
+	ck := clock.System()
+	no := &Node{
+		st: st, wo: wo, ck: ck, log: lg,
+		following: make(map[string]context.CancelFunc),
+		fleet:     fleet.New(fleet.Options{Clock: ck, Host: st.Name}),
+		pool:      attempt.NewPool(attempt.Options{Clock: ck, Opened: wo.Meter.Opened}),
+		cache:     cachedir.New(ck),
+	}
+	no.hosts.Store(1)
+	if st.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(float64(st.MemoryMiB) * mebibyte * memoryShare))
+	}
+	no.budget = retry.NewWindows(ck, retry.Bound{
+		Ratio: st.Bounds.RepeatRatio, Slack: st.Bounds.RepeatSlack,
+		Window: time.Duration(st.Bounds.RepeatWindowS * float64(time.Second)),
+	})
+	no.state = &state{
+		ck: ck, log: lg.WithField("part", "state"), decode: wo.Decoder, fleet: no.fleet, name: st.Name,
+		apply: no.apply, peers: no.setPeers,
+		hosts: make(map[string]peering.Peer), weights: make(map[string]namedWeights),
+	}
+	no.seat = leadership.New(leadership.Options{
+		Store: wo.Store, Clock: ck, Boot: clock.Boot, Key: keyUpgrades, Holder: st.Name,
+		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, Changed: no.seated,
+	})
+	no.upgrades = upgrade.New(upgrade.Options{
+		Clock: ck, Fleet: no.fleet, Engines: wo.Engines, Holder: st.Name, Fence: no.seat.Fence,
+		Log: lg.WithField("part", "upgrade"),
+	})
+	no.state.named, no.state.vacant = no.upgrades.Target, no.seat.Vacant
+	no.gateway = gateway.New(gateway.Options{
+		Clock: ck, Codec: wo.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.budget,
+		Log: lg.WithField("part", "gateway"), Meter: wo.Meter, Zone: st.Zone,
+		Hosts:   func() int { return int(no.hosts.Load()) },
+		Weights: no.state.wanted,
+		Expired: func(model string) bool {
+			limit := time.Duration(float64(st.Bounds.WeightsMs) * weightsShare * float64(time.Millisecond))
+			return no.state.namedFor(model) > limit
+		},
+	})
+	if err := no.listen(); err != nil {
+		return nil, err
+	}
+	return no, nil
+}
+
+func (no *Node) listen() error {
+	var err error
+	if no.exchange, err = peering.Listen(no.st.PeerListen, no.ck); err != nil {
+		return err
+	}
+	if no.clients, err = net.Listen("tcp", no.st.Listen); err != nil {
+		return errors.Wrap(err, "node: listen for clients")
+	}
+	if no.ready, err = net.Listen("tcp", no.st.ReadyListen); err != nil {
+		return errors.Wrap(err, "node: listen for readiness")
+	}
+	if no.st.MetricsListen != "" {
+		if no.metrics, err = net.Listen("tcp", no.st.MetricsListen); err != nil {
+			return errors.Wrap(err, "node: listen for metrics")
+		}
+	}
+	return nil
+}
+
+// Run serves until ctx ends, and then finishes what is under way within the time for a planned stop.
+func (no *Node) Run(ctx context.Context) error {
+	no.log.WithFields(logrus.Fields{
+		"host": no.st.Name, "zone": no.st.Zone, "listen": no.clients.Addr().String(),
+		"metadata-store": no.st.Store, "bounds": no.st.Bounds,
+	}).Info("Host starts.")
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var eg errgroup.Group
+	eg.Go(func() error { metastore.Follow(work, no.wo.Store, no.ck, "", no.state); return nil })
+	eg.Go(func() error { return no.exchange.Run(work, no.compose, no.receive) })
+	eg.Go(func() error { no.keep(work); return nil })
+	eg.Go(func() error { no.sweep(work); return nil })
+	duties, endDuties := context.WithCancel(work)
+	defer endDuties()
+	eg.Go(func() error { no.seat.Run(duties); return nil })
+	eg.Go(func() error { no.upgrades.Run(duties); return nil })
+
+	ready := &http.Server{Handler: http.HandlerFunc(no.answerReady), ReadHeaderTimeout: defaultHeaderTime}
+	clients := &http.Server{
+		Handler: no.gateway, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: idleTime, MaxHeaderBytes: defaultHeaderBytes,
+	}
+	servers := []struct {
+		server   *http.Server
+		listener net.Listener
+	}{{ready, no.ready}, {clients, no.clients}}
+	if no.metrics != nil {
+		servers = append(servers, struct {
+			server   *http.Server
+			listener net.Listener
+		}{&http.Server{Handler: no.wo.Meter.Handler(), ReadHeaderTimeout: defaultHeaderTime}, no.metrics})
+	}
+	for _, se := range servers {
+		eg.Go(func() error {
+			if err := se.server.Serve(se.listener); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Wrap(err, "node: serve")
+			}
+			return nil
+		})
+	}
+	<-ctx.Done()
+	no.stop(clients, endDuties)
+	cancel()
+	for _, se := range servers {
+		_ = se.server.Close()
+	}
+	no.log.Info("Host stops.")
+	return eg.Wait()
+}
+
+// stop takes the host out of rotation and waits for the requests under way.
+func (no *Node) stop(clients *http.Server, endDuties func()) {
+	no.stopping.Store(true)
+	no.gateway.Stop()
+	endDuties()
+	no.log.WithField("active", no.gateway.Active()).Info("Host is stopping.")
+	deadline := no.ck.Now().Add(time.Duration(no.st.Bounds.StopMs)*time.Millisecond - stopMargin)
+	<-no.ck.After(acceptFor)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := clients.Shutdown(ctx); err != nil {
+		no.log.WithFields(logrus.Fields{"active": no.gateway.Active(), "cause": err.Error()}).Warn("Stop cut requests.")
+	}
+}
+
+func (no *Node) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if no.stopping.Load() || no.gateway.Catalog() == nil || !no.fleet.IsSynced() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// apply puts a configuration in force.
+func (no *Node) apply(ct *catalog.Catalog) {
+	if !no.gateway.Configure(ct) {
+		return
+	}
+	no.cache.Configure(ct.Stores())
+	no.followCaches(ct.Stores())
+	no.log.WithFields(logrus.Fields{
+		"version": ct.Version(), "services": len(ct.Services()), "cache-stores": len(ct.Stores()),
+	}).Info("Configuration is in force.")
+}
+
+func (no *Node) followCaches(stores []catalog.CacheStore) {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	wanted := make(map[string]bool, len(stores))
+	for _, cs := range stores {
+		wanted[cs.Address] = true
+		if no.following[cs.Address] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		no.following[cs.Address] = cancel
+		go no.cache.Follow(ctx, no.wo.Caches, cs.Address, func(err error) {
+			fields := logrus.Fields{"dependency": "cache-store", "address": cs.Address}
+			if err != nil {
+				fields["cause"] = err.Error()
+				no.log.WithFields(fields).Warn("Dependency is lost.")
+				return
+			}
+			no.log.WithFields(fields).Info("Dependency is back.")
+		})
+	}
+	for address, cancel := range no.following {
+		if !wanted[address] {
+			cancel()
+			delete(no.following, address)
+		}
+	}
+}
+
+func (no *Node) setPeers(peers []peering.Peer) {
+	no.hosts.Store(int64(len(peers) + 1))
+	no.budget.SetHosts(len(peers) + 1)
+	no.exchange.SetPeers(peers)
+}
+
+func (no *Node) seated(held bool, fence uint64) {
+	no.log.WithFields(logrus.Fields{"held": held, "fence": fence}).Info("Duty of weights changed hands.")
+}
+
+// compose returns what the peers are told.
+func (no *Node) compose() peering.Digest {
+	dg := peering.Digest{Host: no.st.Name}
+	for id, ld := range no.fleet.OwnLoads() {
+		dg.Loads = append(dg.Loads, peering.Load{Endpoint: id, Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
+	}
+	for _, id := range no.upgrades.Loading() {
+		dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Loading: true})
+	}
+	for _, vw := range no.fleet.All() {
+		for model, version := range vw.Models {
+			if want := no.state.wanted(model); want > 0 && version == want {
+				dg.Weights = append(dg.Weights, peering.Weights{Endpoint: vw.ID, Model: model, Version: version})
+			}
+		}
+	}
+	return dg
+}
+
+// receive takes what a peer tells.
+func (no *Node) receive(dg peering.Digest) {
+	loads := make(map[string]fleet.Load, len(dg.Loads))
+	for _, ld := range dg.Loads {
+		loads[ld.Endpoint] = fleet.Load{Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread}
+	}
+	no.fleet.PeerLoads(dg.Host, loads)
+	for _, we := range dg.Weights {
+		if we.Loading {
+			no.fleet.Loading(we.Endpoint, no.ck.Now().Add(loadingFor))
+			continue
+		}
+		no.fleet.Newer(we.Endpoint, we.Model, we.Version)
+	}
+}
+
+// sweep drops connections to endpoints that are gone.
+func (no *Node) sweep(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-no.ck.After(sweepEvery):
+		}
+		live := make(map[attempt.Target]bool)
+		for _, vw := range no.fleet.All() {
+			live[attempt.Target{ID: vw.ID, Address: vw.Address, Born: vw.Born}] = !vw.Draining
+		}
+		no.pool.Drop(func(ta attempt.Target) bool { return live[ta] })
+	}
+}
+
+// keep registers the host in the metadata store, so that others find it.
+func (no *Node) keep(ctx context.Context) {
+	var lease uint64
+	value, err := json.Marshal(hostItem{Zone: no.st.Zone, Address: no.exchange.Address()})
+	if err != nil {
+		no.log.WithField("cause", err.Error()).Error("Host's item is not valid.")
+		return
+	}
+	for {
+		if lease == 0 {
+			if lease, err = no.wo.Store.Grant(ctx, registeredFor); err == nil {
+				_, err = no.wo.Store.Commit(ctx, metastore.Transaction{
+					Puts: []metastore.Put{{Key: prefixHosts + no.st.Name, Value: value, Lease: lease}},
+				})
+			}
+		} else {
+			err = no.wo.Store.Renew(ctx, lease)
+		}
+		if errors.Is(err, metastore.ErrLeaseEnded) {
+			lease = 0
+		}
+		select {
+		case <-ctx.Done():
+			if lease != 0 {
+				// The lease ends by itself if this call fails.
+				_ = no.wo.Store.Revoke(context.WithoutCancel(ctx), lease)
+			}
+			return
+		case <-no.ck.After(keepEvery):
+		}
+	}
+}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -45,6 +45,8 @@
 	platform   metric.Int64Counter
 	control    metric.Int64Counter
 	moved      metric.Int64Counter
+	ended      metric.Int64Counter
+	opened     metric.Int64Counter
 	spent      metric.Float64Counter
 
 	controlBytes  atomic.Int64
@@ -79,6 +81,8 @@
 		{&me.platform, "bergamotway.platform.calls", "Calls to the key-value service by purpose."},
 		{&me.control, "bergamotway.control.bytes", "Bytes of control traffic by direction."},
 		{&me.moved, "bergamotway.link.bytes", "Bytes moved over links of store hosts by direction."},
+		{&me.ended, "bergamotway.requests", "Requests by route and how they ended."},
+		{&me.opened, "bergamotway.connections", "Connections opened to endpoints."},
 	}
 	for _, c := range counters {
 		if *c.target, err = om.Int64Counter(c.name, metric.WithDescription(c.about)); err != nil {
@@ -149,6 +153,15 @@
 	me.spent.Add(context.Background(), seconds, metric.WithAttributes(attribute.String("class", class)))
 }
 
+// Ended counts a request by how it ended.
+func (me *Meter) Ended(route, end string) {
+	me.ended.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.String("class", route), attribute.String("end", end)))
+}
+
+// Opened counts a connection to an endpoint.
+func (me *Meter) Opened() { me.opened.Add(context.Background(), 1) }
+
 // Moved counts bytes over a store host's link; direction is "import" or "export".
 func (me *Meter) Moved(direction string, bytes int64) {
 	me.moved.Add(context.Background(), bytes, metric.WithAttributes(attribute.String("direction", direction)))
--- a/programs/bergamotway/main.go
+++ b/programs/bergamotway/main.go
@@ -7,13 +7,18 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
+	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/host"
 	"github.com/bergamotway/bergamotway/internal/logs"
+	"github.com/bergamotway/bergamotway/internal/node"
 	"github.com/bergamotway/bergamotway/internal/settings"
+	"github.com/bergamotway/bergamotway/internal/telemetry"
+	"github.com/bergamotway/bergamotway/platform"
 )
 
 const (
@@ -22,6 +27,11 @@
 	exitFailure  = 1
 	exitSettings = 2
 	exitCut      = 3
+
+	// settingsVariable names the settings file on the platform.
+	settingsVariable = "BERGAMOTWAY_SETTINGS"
+	// flushLimit bounds writing the last log lines.
+	flushLimit = 200 * time.Millisecond
 )
 
 func main() {
@@ -35,6 +45,11 @@
 				Flags:  []cli.Flag{settingsFlag()},
 				Action: serve,
 			},
+			{
+				Name:   "gateway",
+				Usage:  "serve the routes of the platform's operators until SIGTERM, then finish every request",
+				Action: serveGateway,
+			},
 			{
 				Name:   "check-settings",
 				Usage:  "print every fault of a settings file",
@@ -82,6 +97,32 @@
 	return ho.Run(stop, cut)
 }
 
+// serveGateway runs a host on the platform. The platform names the settings file in the environment.
+func serveGateway(_ context.Context, _ *cli.Command) error {
+	st, err := node.LoadSettings(os.Getenv(settingsVariable))
+	if err != nil {
+		return err
+	}
+	queue := logs.NewQueue(os.Stdout)
+	defer queue.Close(flushLimit)
+	lg := logs.New(queue, st.LogLevel)
+	logs.Bound(lg, clock.System())
+	meter, err := telemetry.New()
+	if err != nil {
+		return err
+	}
+	engines := platform.NewEngines()
+	no, err := node.New(st, node.World{
+		Store: platform.NewStore(st.Store, nil), Decoder: platform.Decoder{}, Codec: platform.Codec{},
+		Caches: engines, Engines: engines, Meter: meter,
+	}, lg)
+	if err != nil {
+		return err
+	}
+	stop, _ := stopContexts()
+	return no.Run(stop)
+}
+
 // stopContexts returns a context that the first signal ends, and one that the second signal ends.
 func stopContexts() (stop, cut context.Context) {
 	stop, cancelStop := context.WithCancel(context.Background())
