node, cachedir: free KV cache of older weights, record when weights were named

Ruled out: lists of readers; a hash gate for each salt that only goes down needs no list and makes late frees harmless. Change: oldest engines first; times of named weights lie in the store; gates, a barrier over all registered hosts, and frees once fetches from before have ended.

--- a/internal/cachedir/cachedir.go
+++ b/internal/cachedir/cachedir.go
@@ -68,6 +68,9 @@
 		Events(ctx context.Context, address string, since uint64, wait time.Duration) (Events, error)
 		// List returns all parts.
 		List(ctx context.Context, address string) (Listing, error)
+		// Free frees parts at a store that has not started anew since epoch, if the call arrives
+		// before until in milliseconds of the endpoints' clock.
+		Free(ctx context.Context, address string, epoch uint64, until int64, parts []Part) error
 	}
 
 	// Directory is safe for concurrent use. New makes one.
@@ -76,6 +79,8 @@
 
 		mu     sync.Mutex
 		stores map[string]*store
+		gates  Gates
+		permit func() bool
 	}
 
 	// Location is a store that holds a part.
@@ -187,7 +192,11 @@
 	defer di.mu.Unlock()
 	var out []Location
 	now := di.ck.Now()
+	allowed := di.gates.Allow(pt) && (di.permit == nil || di.permit())
 	for _, so := range di.stores {
+		if so.info.Managed && !allowed {
+			continue
+		}
 		if _, ok := so.parts[pt]; ok && so.synced && so.clock > 0 {
 			until := so.clock + now.Sub(so.heard).Milliseconds() + fetchWithin.Milliseconds()
 			out = append(out, Location{CacheStore: so.info, Until: until})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,8 +55,8 @@
 		Hosts func() int
 		// Weights returns the version of a model that the operator named last; zero if none.
 		Weights func(model string) uint64
-		// Expired reports that engines with older weights may not be used any more.
-		Expired func(model string) bool
+		// Expired reports that a version of a model may not be used any more.
+		Expired func(model string, version uint64) bool
 	}
 
 	// Gateway is the HTTP handler for clients. It is safe for concurrent use.
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -49,7 +48,6 @@
 	if job.Model != "" {
 		job.Tokens = rq.tokens()
 		job.Version = gw.opts.Weights(rq.Model)
-		job.Only = job.Version > 0 && gw.opts.Expired(rq.Model)
 		if fw.pinned > 0 {
 			job.Version, job.Only = fw.pinned, true
 		}
@@ -84,6 +82,7 @@
 		ca := &cands[i]
 		ca.Capacity = en.CapacityTokens
 		version, _ := ca.Version(rq.Model)
+		ca.Expired = fw.gw.opts.Expired(rq.Model, version)
 		if _, ok := known[version]; !ok {
 			salt := fw.salt(version)
 			located := make([][]cachedir.Location, len(rq.Parts))
@@ -131,6 +130,9 @@
 			lo, _ := nearest(locs, ca.Zone, pt.Tokens, en.TokenBytes)
 			fetch[k], fetches = lo.Address, true
 			pl.delivery.FetchUntil = lo.Until
+		} else if version < fw.gw.opts.Weights(rq.Model) {
+			// What is kept of older weights is of no use soon.
+			continue
 		} else if address := fw.gw.opts.Cache.Claim(cp, pt.Tokens); address != "" {
 			save[k], saves = address, true
 		}
@@ -146,11 +148,11 @@
 
 // salt returns the text that separates KV cache of other versions and of exclusive teams.
 func (fw *forwarding) salt(version uint64) string {
-	out := fw.rq.Model + "." + strconv.FormatUint(version, 10)
+	team := ""
 	if fw.rq.team != nil && fw.rq.team.Exclusive {
-		out += "." + fw.rq.team.Name
+		team = fw.rq.team.Name
 	}
-	return out
+	return cachedir.Salt(fw.rq.Model, version, team)
 }
 
 // nearest returns the store from which a part is fetched soonest, and how long that takes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,8 @@
 	// registeredFor is the lease on a host's own item; keepEvery is how often it is renewed.
 	registeredFor = 8 * time.Second
 	keepEvery     = 2500 * time.Millisecond
+	// registeredMargin is how long before the end of its lease a host takes itself as unknown.
+	registeredMargin = time.Second
 	// defaultHeaderBytes and defaultHeaderTime hold before there is a configuration.
 	defaultHeaderBytes = 16 << 10
 	defaultHeaderTime  = 5 * time.Second
@@ -84,7 +86,11 @@
 		hosts    atomic.Int64
 		stopping atomic.Bool
 
+		reclaim    *reclaim
+		registered atomic.Int64
+
 		mu        sync.Mutex
+		seen      map[string]uint64
 		following map[string]context.CancelFunc
 	}
 )
@@ -94,10 +100,10 @@
 	ck := clock.System()
 	no := &Node{
 		st: st, wo: wo, ck: ck, log: lg,
-		following: make(map[string]context.CancelFunc),
-		fleet:     fleet.New(fleet.Options{Clock: ck, Host: st.Name}),
-		pool:      attempt.NewPool(attempt.Options{Clock: ck, Opened: wo.Meter.Opened}),
-		cache:     cachedir.New(ck),
+		following: make(map[string]context.CancelFunc), seen: make(map[string]uint64),
+		fleet: fleet.New(fleet.Options{Clock: ck, Host: st.Name}),
+		pool:  attempt.NewPool(attempt.Options{Clock: ck, Opened: wo.Meter.Opened}),
+		cache: cachedir.New(ck),
 	}
 	no.hosts.Store(1)
 	if st.MemoryMiB > 0 {
@@ -108,9 +114,9 @@
 		Window: time.Duration(st.Bounds.RepeatWindowS * float64(time.Second)),
 	})
 	no.state = &state{
-		ck: ck, log: lg.WithField("part", "state"), decode: wo.Decoder, fleet: no.fleet, name: st.Name,
+		log: lg.WithField("part", "state"), decode: wo.Decoder, fleet: no.fleet, name: st.Name,
 		apply: no.apply, peers: no.setPeers,
-		hosts: make(map[string]peering.Peer), weights: make(map[string]namedWeights),
+		hosts: make(map[string]peering.Peer), weights: newNaming(ck),
 	}
 	no.seat = leadership.New(leadership.Options{
 		Store: wo.Store, Clock: ck, Boot: clock.Boot, Key: keyUpgrades, Holder: st.Name,
@@ -120,15 +126,18 @@
 		Clock: ck, Fleet: no.fleet, Engines: wo.Engines, Holder: st.Name, Fence: no.seat.Fence,
 		Log: lg.WithField("part", "upgrade"),
 	})
+	no.reclaim = &reclaim{no: no}
+	no.state.gates = no.reclaim.take
+	no.cache.SetPermit(no.mayFetch)
 	no.state.named, no.state.vacant = no.upgrades.Target, no.seat.Vacant
 	no.gateway = gateway.New(gateway.Options{
 		Clock: ck, Codec: wo.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.budget,
 		Log: lg.WithField("part", "gateway"), Meter: wo.Meter, Zone: st.Zone,
 		Hosts:   func() int { return int(no.hosts.Load()) },
-		Weights: no.state.wanted,
-		Expired: func(model string) bool {
+		Weights: no.state.weights.wanted,
+		Expired: func(model string, version uint64) bool {
 			limit := time.Duration(float64(st.Bounds.WeightsMs) * weightsShare * float64(time.Millisecond))
-			return no.state.namedFor(model) > limit
+			return no.state.weights.expired(model, version, limit)
 		},
 	})
 	if err := no.listen(); err != nil {
@@ -169,10 +178,12 @@
 	eg.Go(func() error { return no.exchange.Run(work, no.compose, no.receive) })
 	eg.Go(func() error { no.keep(work); return nil })
 	eg.Go(func() error { no.sweep(work); return nil })
+	eg.Go(func() error { no.state.weights.record(work, no.wo.Store, no.recordDelay); return nil })
 	duties, endDuties := context.WithCancel(work)
 	defer endDuties()
 	eg.Go(func() error { no.seat.Run(duties); return nil })
 	eg.Go(func() error { no.upgrades.Run(duties); return nil })
+	eg.Go(func() error { no.reclaim.run(duties); return nil })
 
 	ready := &http.Server{Handler: http.HandlerFunc(no.answerReady), ReadHeaderTimeout: defaultHeaderTime}
 	clients := &http.Server{
@@ -276,13 +287,26 @@
 	no.exchange.SetPeers(peers)
 }
 
+// recordDelay is longer for hosts further behind in an order that is the same everywhere.
+func (no *Node) recordDelay() time.Duration {
+	no.state.mu.Lock()
+	defer no.state.mu.Unlock()
+	rank := 0
+	for name := range no.state.hosts {
+		if name < no.st.Name {
+			rank++
+		}
+	}
+	return time.Duration(rank) * recordEvery
+}
+
 func (no *Node) seated(held bool, fence uint64) {
 	no.log.WithFields(logrus.Fields{"held": held, "fence": fence}).Info("Duty of weights changed hands.")
 }
 
 // compose returns what the peers are told.
 func (no *Node) compose() peering.Digest {
-	dg := peering.Digest{Host: no.st.Name}
+	dg := peering.Digest{Host: no.st.Name, Seen: no.state.seen.Load()}
 	for id, ld := range no.fleet.OwnLoads() {
 		dg.Loads = append(dg.Loads, peering.Load{Endpoint: id, Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
 	}
@@ -291,7 +315,7 @@
 	}
 	for _, vw := range no.fleet.All() {
 		for model, version := range vw.Models {
-			if want := no.state.wanted(model); want > 0 && version == want {
+			if want := no.state.weights.wanted(model); want > 0 && version == want {
 				dg.Weights = append(dg.Weights, peering.Weights{Endpoint: vw.ID, Model: model, Version: version})
 			}
 		}
@@ -306,6 +330,9 @@
 		loads[ld.Endpoint] = fleet.Load{Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread}
 	}
 	no.fleet.PeerLoads(dg.Host, loads)
+	no.mu.Lock()
+	no.seen[dg.Host] = dg.Seen
+	no.mu.Unlock()
 	for _, we := range dg.Weights {
 		if we.Loading {
 			no.fleet.Loading(we.Endpoint, no.ck.Now().Add(loadingFor))
@@ -315,6 +342,24 @@
 	}
 }
 
+// mayFetch reports whether the other hosts know of this one, so that what it fetches is not freed
+// meanwhile. It must have seen its own item, and with it all gates from before.
+func (no *Node) mayFetch() bool {
+	return int64(clock.Boot()) < no.registered.Load() && no.state.knows(no.st.Name)
+}
+
+// allSeen reports whether each host that is registered knows all changes up to a revision.
+func (no *Node) allSeen(revision uint64) bool {
+	no.mu.Lock()
+	defer no.mu.Unlock()
+	for _, name := range no.state.names() {
+		if name != no.st.Name && no.seen[name] < revision {
+			return false
+		}
+	}
+	return no.state.seen.Load() >= revision
+}
+
 // sweep drops connections to endpoints that are gone.
 func (no *Node) sweep(ctx context.Context) {
 	for {
@@ -340,6 +385,7 @@
 		return
 	}
 	for {
+		asked := clock.Boot()
 		if lease == 0 {
 			if lease, err = no.wo.Store.Grant(ctx, registeredFor); err == nil {
 				_, err = no.wo.Store.Commit(ctx, metastore.Transaction{
@@ -349,7 +395,10 @@
 		} else {
 			err = no.wo.Store.Renew(ctx, lease)
 		}
-		if errors.Is(err, metastore.ErrLeaseEnded) {
+		switch {
+		case err == nil:
+			no.registered.Store(int64(asked + registeredFor - registeredMargin))
+		case errors.Is(err, metastore.ErrLeaseEnded):
 			lease = 0
 		}
 		select {
--- /dev/null
+++ b/internal/node/reclaim.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bergamotway/bergamotway/internal/cachedir"
+	"github.com/bergamotway/bergamotway/internal/metastore"
+)
+
+const (
+	// reclaimEvery is the pause between two looks at the cache stores.
+	reclaimEvery = 400 * time.Millisecond
+	// fetchesEnd is how long after the last host has seen a gate a fetch that began before can
+	// last: fetches are bounded to 2 s, and the request may be on its way for a moment.
+	fetchesEnd = 2700 * time.Millisecond
+	// reclaimFrom is the share of a store from which room is made for newer weights.
+	reclaimFrom = 0.5
+	// victimsMost bounds the parts that one call frees.
+	victimsMost = 600
+	// gateSteps is in how many steps a gate goes down while the engines change their weights.
+	gateSteps = 8
+)
+
+// reclaim makes room in managed cache stores: parts of older weights are given up as the engines
+// move on to newer ones. It works on the host that holds the seat.
+//
+// Gates only go down, so that a call that frees parts is safe however late it arrives: nobody will
+// fetch them again.
+type reclaim struct {
+	no *Node
+
+	mu       sync.Mutex
+	gates    cachedir.Gates
+	revision uint64
+	passed   time.Time
+	freed    uint64
+}
+
+// take takes the gates from the metadata store.
+func (re *reclaim) take(it metastore.Item) {
+	var ga cachedir.Gates
+	if err := json.Unmarshal(it.Value, &ga); err != nil {
+		re.no.log.WithField("cause", err.Error()).Error("Gates of the cache are not usable.")
+		return
+	}
+	re.mu.Lock()
+	re.gates, re.revision, re.passed = ga, it.Revision, time.Time{}
+	re.mu.Unlock()
+	re.no.cache.SetGates(ga)
+}
+
+func (re *reclaim) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-re.no.ck.After(reclaimEvery):
+		}
+		if _, ok := re.no.seat.Fence(); !ok {
+			continue
+		}
+		re.lower(ctx)
+		if ga, ok := re.settled(); ok {
+			re.free(ctx, ga)
+		}
+	}
+}
+
+// lower brings the gates of older weights down as engines move on.
+func (re *reclaim) lower(ctx context.Context) {
+	salts, fullest := re.no.cache.Salts()
+	if fullest < reclaimFrom {
+		return
+	}
+	re.mu.Lock()
+	have, revision := re.gates, re.revision
+	re.mu.Unlock()
+	next := make(cachedir.Gates, len(have))
+	maps.Copy(next, have)
+	for _, salt := range salts {
+		model, version, ok := cachedir.ParseSalt(salt)
+		if !ok || version >= re.no.state.weights.wanted(model) {
+			continue
+		}
+		gate := re.share(model, version)
+		if now, ok := next[salt]; !ok || gate < now {
+			next[salt] = gate
+		}
+	}
+	if maps.Equal(next, have) {
+		return
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return
+	}
+	// The watch brings the new gates back; after a conflict the next look starts from those.
+	if _, err := re.no.wo.Store.Commit(ctx, metastore.Transaction{
+		Expect: []metastore.Expectation{{Key: keyGates, Revision: revision}},
+		Puts:   []metastore.Put{{Key: keyGates, Value: value}},
+	}); err == nil {
+		re.no.log.WithFields(logrus.Fields{"gates": next, "fullest": fullest}).Info("Cache's gates were lowered.")
+	}
+}
+
+// share returns the gate of a version: open as far as engines still have it, in steps.
+func (re *reclaim) share(model string, version uint64) uint32 {
+	with, all := 0, 0
+	for _, vw := range re.no.fleet.All() {
+		have, ok := vw.Version(model)
+		if !ok || vw.Draining {
+			continue
+		}
+		all++
+		if have == version {
+			with++
+		}
+	}
+	if all == 0 {
+		return cachedir.GateOpen
+	}
+	return uint32(with*gateSteps/all) * cachedir.GateOpen / gateSteps
+}
+
+// settled returns the gates once all hosts have seen them and fetches from before have ended.
+func (re *reclaim) settled() (cachedir.Gates, bool) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	if re.revision == 0 {
+		return nil, false
+	}
+	now := re.no.ck.Now()
+	if re.passed.IsZero() {
+		if !re.no.allSeen(re.revision) {
+			return nil, false
+		}
+		re.passed = now
+	}
+	return re.gates, now.Sub(re.passed) >= fetchesEnd
+}
+
+func (re *reclaim) free(ctx context.Context, ga cachedir.Gates) {
+	for _, vi := range re.no.cache.Victims(ga, victimsMost) {
+		err := re.no.wo.Caches.Free(ctx, vi.Address, vi.Epoch, vi.Until, vi.Parts)
+		fields := logrus.Fields{"address": vi.Address, "parts": len(vi.Parts), "epoch": vi.Epoch}
+		if err != nil {
+			fields["cause"] = err.Error()
+			re.no.log.WithFields(fields).Warn("Parts were not freed.")
+			continue
+		}
+		re.no.log.WithFields(fields).Info("Parts were freed.")
+	}
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -6,12 +6,11 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
+	"sync/atomic"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/bergamotway/bergamotway/internal/catalog"
-	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
@@ -20,6 +19,8 @@
 const (
 	prefixOwn    = "bergamotway/"
 	prefixHosts  = prefixOwn + "hosts/"
+	prefixNamed  = prefixOwn + "named/"
+	keyGates     = prefixOwn + "cache/gates"
 	keyUpgrades  = prefixOwn + "leader/weights"
 	weightsShare = 0.93
 )
@@ -51,25 +52,21 @@
 	// state takes what the metadata store says and passes it to the parts that use it. Replace,
 	// Change, Reached and Lost are called from one goroutine.
 	state struct {
-		ck     clock.Clock
 		log    logrus.FieldLogger
 		decode Decoder
 		fleet  *fleet.Fleet
 		name   string
 		apply  func(*catalog.Catalog)
 		named  func(model string, version uint64)
+		gates  func(it metastore.Item)
 		peers  func([]peering.Peer)
 		vacant func()
 
 		mu      sync.Mutex
 		hosts   map[string]peering.Peer
-		weights map[string]namedWeights
+		weights *naming
 		away    bool
-	}
-
-	namedWeights struct {
-		version uint64
-		since   time.Time
+		seen    atomic.Uint64
 	}
 )
 
@@ -112,11 +109,13 @@
 			}
 		}
 		seat = seat || it.Key == keyUpgrades
+		sa.recorded(it)
 		sa.operator(it)
 	}
 	sa.fleet.Replace(entries)
 	sa.fleet.EvacuateOnly(zones)
 	sa.setHosts(hosts)
+	sa.seen.Store(sn.Revision)
 	if !seat {
 		sa.vacant()
 	}
@@ -128,6 +127,7 @@
 // Change takes one change.
 func (sa *state) Change(ev metastore.Event) {
 	it := ev.Item
+	defer func() { sa.seen.Store(max(sa.seen.Load(), it.Revision)) }()
 	if id, ok := sa.decode.Endpoint(it.Key); ok {
 		sa.endpoint(id, ev)
 		return
@@ -152,6 +152,7 @@
 		sa.setHosts(hosts)
 		return
 	}
+	sa.recorded(it)
 	if ev.Removed {
 		if it.Key == keyUpgrades {
 			sa.vacant()
@@ -178,24 +179,6 @@
 	}
 }
 
-// wanted returns the version of a model that requests should use; zero if none is named.
-func (sa *state) wanted(model string) uint64 {
-	sa.mu.Lock()
-	defer sa.mu.Unlock()
-	return sa.weights[model].version
-}
-
-// namedFor returns for how long the version wanted has been known here.
-func (sa *state) namedFor(model string) time.Duration {
-	sa.mu.Lock()
-	defer sa.mu.Unlock()
-	nw, ok := sa.weights[model]
-	if !ok {
-		return 0
-	}
-	return sa.ck.Now().Sub(nw.since)
-}
-
 func (sa *state) endpoint(id string, ev metastore.Event) {
 	fields := logrus.Fields{"endpoint": id, "revision": ev.Item.Revision}
 	if ev.Removed {
@@ -233,12 +216,7 @@
 			sa.log.WithField("cause", err.Error()).Error("Named weights are not usable.")
 			return
 		}
-		sa.mu.Lock()
-		newer := version > sa.weights[model].version
-		if newer {
-			sa.weights[model] = namedWeights{version: version, since: sa.ck.Now()}
-		}
-		sa.mu.Unlock()
+		newer := sa.weights.name(model, version)
 		if newer {
 			sa.named(model, version)
 			sa.log.WithFields(logrus.Fields{"model": model, "version": version, "revision": it.Revision}).Info("Weights were named.")
@@ -247,6 +225,20 @@
 	}
 }
 
+// recorded takes what hosts record for each other: when weights were named, and the cache's gates.
+func (sa *state) recorded(it metastore.Item) {
+	if it.Key == keyGates && len(it.Value) > 0 {
+		sa.gates(it)
+	}
+	model, ok := strings.CutPrefix(it.Key, prefixNamed)
+	if !ok || len(it.Value) == 0 {
+		return
+	}
+	if err := sa.weights.restore(model, it.Value, it.Revision); err != nil {
+		sa.log.WithFields(logrus.Fields{"model": model, "cause": err.Error()}).Warn("Record of named weights is not usable.")
+	}
+}
+
 func (sa *state) setHosts(hosts map[string]peering.Peer) {
 	sa.mu.Lock()
 	sa.hosts = hosts
@@ -275,3 +267,22 @@
 	}
 	return peering.Peer{Name: name, Zone: hi.Zone, Address: ap}, true
 }
+
+// knows reports whether a host is registered.
+func (sa *state) knows(name string) bool {
+	sa.mu.Lock()
+	defer sa.mu.Unlock()
+	_, ok := sa.hosts[name]
+	return ok
+}
+
+// names returns the names of the registered hosts.
+func (sa *state) names() []string {
+	sa.mu.Lock()
+	defer sa.mu.Unlock()
+	out := make([]string, 0, len(sa.hosts))
+	for name := range sa.hosts {
+		out = append(out, name)
+	}
+	return out
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -42,8 +42,10 @@
 
 	// Digest is what one host tells the others.
 	Digest struct {
-		Host    string    `json:"h"`
-		Number  uint64    `json:"n"`
+		Host   string `json:"h"`
+		Number uint64 `json:"n"`
+		// Seen is the revision of the metadata store up to which the host knows all changes.
+		Seen    uint64    `json:"s,omitempty"`
 		Loads   []Load    `json:"l,omitempty"`
 		Weights []Weights `json:"w,omitempty"`
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -61,6 +61,8 @@
 		Read int
 		// Fetch is how long it would take to fetch the other tokens.
 		Fetch time.Duration
+		// Expired engines have weights that may not be used any more.
+		Expired bool
 	}
 
 	// Choice is the outcome of a decision.
@@ -80,7 +82,7 @@
 	seed := rendezvous.Hash(job.ID)
 	for i := range cands {
 		ca := &cands[i]
-		if contains(job.Tried, ca.ID) {
+		if ca.Expired || contains(job.Tried, ca.ID) {
 			continue
 		}
 		version, serves := ca.Version(job.Model)
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -3,7 +3,9 @@
 package upgrade
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -192,6 +194,8 @@
 		}
 	}
 	atOnce := max(1, engines/parallelShare)
+	// Engines that are furthest behind go first, because their weights expire first.
+	slices.SortStableFunc(views, func(a, b fleet.View) int { return cmp.Compare(oldest(a), oldest(b)) })
 	for _, vw := range views {
 		model, version, ok := co.wanted(vw)
 		if !ok || co.work[vw.ID] != nil || !co.room(now, atOnce) {
@@ -230,6 +234,14 @@
 	return "", 0, false
 }
 
+func oldest(vw fleet.View) uint64 {
+	least := uint64(math.MaxUint64)
+	for _, version := range vw.Models {
+		least = min(least, version)
+	}
+	return least
+}
+
 // room reports whether one more engine may begin. Engines that are emptied ahead of their turn
 // count besides those that load.
 func (co *Controller) room(now time.Time, atOnce int) bool {
