placement, cachedir: refuse what would be late, bound fetches, price memory

Ruled out: the estimate of the first token as the cause; with the base of 45 ms it was within 20 ms at the median. Change: a request whose estimate exceeds its target is refused at once; fetches end after four times their expected length; slow stores are noticed from first tokens and their parts copied; older weights cost little; memory has a price.

--- a/internal/cachedir/cachedir.go
+++ b/internal/cachedir/cachedir.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -15,8 +16,17 @@
 const (
 	// savingFor is how long a part counts as being saved before its store has reported it.
 	savingFor = 3 * time.Second
-	// fetchWithin bounds a fetch; the endpoint then reads the part instead.
-	fetchWithin = 2 * time.Second
+	// FetchMost bounds a fetch from its permission to its end.
+	FetchMost = 1500 * time.Millisecond
+	// slowWeight is the weight of the newest transfer in what is known of a store's pace.
+	slowWeight = 0.2
+	// slowMost bounds how much slower than its link a store is taken to be.
+	slowMost = 30.0
+	// slowHalf is after which time without transfers half of a store's slowness is forgotten, so
+	// that it is tried again.
+	slowHalf = 1500 * time.Millisecond
+	// SlowStore is from which factor on a store gets no new parts, and its parts are copied.
+	SlowStore = 4.0
 	// smallPart is up to which length a part goes to the stores that start a transfer soonest,
 	// in tokens. Longer ones would fill these stores at once.
 	smallPart = 1000
@@ -86,9 +96,10 @@
 	// Location is a store that holds a part.
 	Location struct {
 		catalog.CacheStore
-		// Until ends the permission to fetch, in milliseconds of the endpoints' clock; zero means
-		// that the clock is not known.
-		Until int64
+		// Clock is the endpoints' time now, in milliseconds.
+		Clock int64
+		// Slow is how much longer than by its link transfers take lately, at least 1.
+		Slow float64
 	}
 
 	store struct {
@@ -101,6 +112,8 @@
 		saving map[Part]saving
 		clock  int64
 		heard  time.Time
+		slow   float64
+		slowAt time.Time
 	}
 
 	saving struct {
@@ -198,8 +211,9 @@
 			continue
 		}
 		if _, ok := so.parts[pt]; ok && so.synced && so.clock > 0 {
-			until := so.clock + now.Sub(so.heard).Milliseconds() + fetchWithin.Milliseconds()
-			out = append(out, Location{CacheStore: so.info, Until: until})
+			out = append(out, Location{
+				CacheStore: so.info, Clock: so.clock + now.Sub(so.heard).Milliseconds(), Slow: so.slowness(now),
+			})
 		}
 	}
 	slices.SortFunc(out, func(a, b Location) int {
@@ -223,18 +237,21 @@
 	)
 	soonest := di.soonest()
 	for address, so := range di.stores {
-		if _, ok := so.parts[pt]; ok {
+		if _, ok := so.parts[pt]; ok && so.slowness(now) < SlowStore {
 			return ""
 		}
 		if sv, ok := so.saving[pt]; ok && now.Before(sv.until) {
 			return ""
 		}
+		if _, ok := so.parts[pt]; ok || so.slowness(now) >= SlowStore {
+			continue
+		}
 		if !so.synced || so.reserved(now)+tokens > int(float64(so.info.CapacityTokens)*fillShare) {
 			continue
 		}
 		// Weighted rendezvous: stores get parts in proportion to their room.
 		unit := float64(rendezvous.Score(rendezvous.Hash(pt.ID), rendezvous.Hash(address))>>11)/(1<<53) + 1e-12
-		sc := -float64(so.info.CapacityTokens) / logOf(unit)
+		sc := -float64(so.info.CapacityTokens) / math.Log(unit)
 		if (tokens <= smallPart) == (so.info.Setup <= soonest) {
 			sc += preferred
 		}
@@ -249,6 +266,20 @@
 	return best.info.Address
 }
 
+// Observe records that a transfer that should have taken expected by the store's link took took.
+func (di *Directory) Observe(address string, expected, took time.Duration) {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	so := di.stores[address]
+	if so == nil || expected <= 0 {
+		return
+	}
+	now := di.ck.Now()
+	ratio := min(max(1, float64(took)/float64(expected)), slowMost)
+	so.slow = so.slowness(now)*(1-slowWeight) + ratio*slowWeight
+	so.slowAt = now
+}
+
 // Known returns how many parts and tokens are known to lie in the stores.
 func (di *Directory) Known() (parts, tokens int) {
 	di.mu.Lock()
@@ -294,6 +325,14 @@
 	delete(so.saving, ch.Part)
 }
 
+// slowness returns how much longer than by its link transfers of the store take.
+func (so *store) slowness(now time.Time) float64 {
+	if so.slow <= 1 {
+		return 1
+	}
+	return 1 + (so.slow-1)*math.Exp2(-float64(now.Sub(so.slowAt))/float64(slowHalf))
+}
+
 func (so *store) reserved(now time.Time) int {
 	sum := so.used
 	for pt, sv := range so.saving {
--- a/internal/cachedir/follow.go
+++ b/internal/cachedir/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 )
 
@@ -60,5 +59,3 @@
 	di.Replace(address, li)
 	return nil
 }
-
-func logOf(unit float64) float64 { return math.Log(unit) }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -13,6 +13,7 @@
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/placement"
 )
 
 const (
@@ -80,6 +81,10 @@
 			fw.refuse("no-endpoint", last)
 			return
 		}
+		if !fw.started && rq.Model != "" && placement.Overdue(pl.estimate, rq.route.Target-gw.opts.Clock.Now().Sub(rq.arrived), left) {
+			fw.overdue(pl, left, last)
+			return
+		}
 		var vd verdict
 		vd, last = fw.try(ctx, client, pl)
 		switch vd {
@@ -112,6 +117,7 @@
 	fw.tried = append(fw.tried, pl.view.ID)
 	fw.endpoint = pl.view.ID
 	gw.opts.Meter.Dispatched(rq.route.Name)
+	pl.sent = gw.opts.Clock.Now()
 	pl.delivery.Left = rq.until.Sub(gw.opts.Clock.Now())
 	pl.delivery.LastEvent = fw.lastEvent
 	target := attempt.Target{ID: pl.view.ID, Address: pl.view.Address, Born: pl.view.Born}
@@ -313,6 +319,23 @@
 	}
 }
 
+// overdue refuses a request that would be late, while it can be said that it has not run.
+func (fw *forwarding) overdue(pl plan, left time.Duration, cause error) {
+	if fw.mayHaveRun {
+		fw.refuse("overloaded", cause)
+		return
+	}
+	after := placement.Return(fw.rq.ID, pl.estimate, fw.rq.route.Target, left)
+	fw.gw.opts.Codec.Refuse(fw.w.Header(), fw.rq, after)
+	fw.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	fw.w.WriteHeader(http.StatusServiceUnavailable)
+	// A client that is gone does not read the reason.
+	_, _ = io.WriteString(fw.w, "overloaded\n")
+	fields := pl.fields()
+	fields["retry-after-ms"] = after.Milliseconds()
+	fw.gw.end(fw.rq, "overloaded", http.StatusServiceUnavailable, cause, fields)
+}
+
 // abort cuts an answer that has begun, so that it does not look complete.
 func (fw *forwarding) abort(reason string, cause error) {
 	fw.end(reason, http.StatusOK, cause)
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -14,6 +14,16 @@
 	// crossZoneFactor is how much longer a transfer between zones takes.
 	crossZoneFactor = 2
 	bitsPerByte     = 8
+	// readPerMs is about how many tokens engines read in a millisecond, as their sheets say.
+	readPerMs = 112
+	// fetchPatience is how much longer than reading a part fetching it may take. Reading costs the
+	// other requests at the engine as much time as this one.
+	fetchPatience = 4
+	fetchSlack    = 60 * time.Millisecond
+	// fetchWithin is how many times its expected length a transfer may take before the engine gives
+	// it up, and fetchLeast the least time that it gets.
+	fetchWithin = 4
+	fetchLeast  = 200 * time.Millisecond
 )
 
 // plan is an endpoint with what the request is sent with.
@@ -23,6 +33,17 @@
 	delivery Delivery
 	estimate time.Duration
 	options  int
+	read     int
+	fetch    time.Duration
+	sources  []source
+	sent     time.Time
+	first    time.Duration
+}
+
+// source is a store from which parts are fetched, with the time that this should take by its link.
+type source struct {
+	Address  string        `json:"address"`
+	Expected time.Duration `json:"-"`
 }
 
 func (pl plan) fields() logrus.Fields {
@@ -30,6 +51,7 @@
 	return logrus.Fields{
 		"endpoint": pl.view.ID, "estimate-ms": milliseconds(pl.estimate), "options": pl.options,
 		"running": sum.Requests, "tokens": sum.Tokens, "unread": sum.Unread,
+		"read": pl.read, "fetch-ms": milliseconds(pl.fetch), "first-ms": milliseconds(pl.first), "sources": pl.sources,
 	}
 }
 
@@ -46,7 +68,7 @@
 		cands[i] = placement.Candidate{View: vw}
 	}
 	if job.Model != "" {
-		job.Tokens = rq.tokens()
+		job.Tokens, job.Output = rq.tokens(), rq.OutputTokens
 		job.Version = gw.opts.Weights(rq.Model)
 		if fw.pinned > 0 {
 			job.Version, job.Only = fw.pinned, true
@@ -63,6 +85,8 @@
 		load:     fleet.Load{Requests: 1, Tokens: job.Tokens, Unread: ca.Read},
 		estimate: ch.Estimate,
 		options:  len(cands),
+		read:     ca.Read,
+		fetch:    ca.Fetch,
 		delivery: Delivery{Instance: ca.ID, Left: left, Urgency: rq.urgency(), Version: fw.pinned},
 	}
 	if rq.team != nil {
@@ -103,7 +127,10 @@
 				// Parts behind one that has to be read are read as well.
 				break
 			}
-			_, took := nearest(located[k], ca.Zone, pt.Tokens, en.TokenBytes)
+			_, took, _ := nearest(located[k], ca.Zone, pt.Tokens, en.TokenBytes)
+			if !worthFetching(took, pt.Tokens) {
+				break
+			}
 			ca.Fetch += took
 			ca.Read -= pt.Tokens
 		}
@@ -124,12 +151,18 @@
 	fetch := make([]string, len(rq.Parts))
 	save := make([]string, len(rq.Parts))
 	fetches, saves := false, false
+	var (
+		expected time.Duration
+		now      int64
+	)
 	for k, pt := range rq.Parts[:len(rq.Parts)-1] {
 		cp := cachedir.Part{Salt: salt, ID: pt.ID}
-		if locs := fw.gw.opts.Cache.Find(cp); len(locs) > 0 {
-			lo, _ := nearest(locs, ca.Zone, pt.Tokens, en.TokenBytes)
+		locs := fw.gw.opts.Cache.Find(cp)
+		if lo, took, byLink := nearest(locs, ca.Zone, pt.Tokens, en.TokenBytes); len(locs) > 0 && worthFetching(took, pt.Tokens) {
 			fetch[k], fetches = lo.Address, true
-			pl.delivery.FetchUntil = lo.Until
+			pl.sources = append(pl.sources, source{Address: lo.Address, Expected: byLink})
+			expected += took
+			now = lo.Clock
 		} else if version < fw.gw.opts.Weights(rq.Model) {
 			// What is kept of older weights is of no use soon.
 			continue
@@ -140,6 +173,8 @@
 	}
 	if fetches {
 		pl.delivery.Fetch = fetch
+		within := min(max(fetchWithin*expected, fetchLeast), cachedir.FetchMost)
+		pl.delivery.FetchUntil = now + within.Milliseconds()
 	}
 	if saves {
 		pl.delivery.Save = save
@@ -155,17 +190,40 @@
 	return cachedir.Salt(fw.rq.Model, version, team)
 }
 
-// nearest returns the store from which a part is fetched soonest, and how long that takes.
-func nearest(locs []cachedir.Location, zone string, tokens, tokenBytes int) (best cachedir.Location, least time.Duration) {
+// nearest returns the store from which a part is fetched soonest, how long that takes lately, and
+// how long it should take by the link alone.
+func nearest(locs []cachedir.Location, zone string, tokens, tokenBytes int) (best cachedir.Location, least, byLink time.Duration) {
 	for i, lo := range locs {
 		seconds := float64(tokens) * float64(tokenBytes) * bitsPerByte / (lo.LinkMbps * 1e6)
 		if lo.Zone != zone {
 			seconds *= crossZoneFactor
 		}
-		took := lo.Setup + time.Duration(seconds*float64(time.Second))
+		plain := lo.Setup + time.Duration(seconds*float64(time.Second))
+		took := time.Duration(float64(plain) * lo.Slow)
 		if i == 0 || took < least {
-			best, least = lo, took
+			best, least, byLink = lo, took, plain
 		}
 	}
-	return best, least
+	return best, least, byLink
+}
+
+// worthFetching reports whether a part should be fetched rather than read.
+func worthFetching(took time.Duration, tokens int) bool {
+	read := time.Duration(tokens) * time.Millisecond / readPerMs
+	return took <= fetchPatience*read+fetchSlack
+}
+
+// observe learns from the time to the first token how long the stores took.
+func (fw *forwarding) observe(pl plan) {
+	var expected time.Duration
+	for _, so := range pl.sources {
+		expected += so.Expected
+	}
+	if expected == 0 {
+		return
+	}
+	took := pl.first - (pl.estimate - pl.fetch)
+	for _, so := range pl.sources {
+		fw.gw.opts.Cache.Observe(so.Address, expected, took)
+	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,6 +47,10 @@
 			return fw.broken(err)
 		}
 		ti.Read()
+		if pl.first == 0 {
+			pl.first = fw.gw.opts.Clock.Now().Sub(pl.sent)
+			fw.observe(pl)
+		}
 		id, has := eventID(event)
 		if has && !fw.follows(id) {
 			return fw.broken(errEventOrder)
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -17,8 +17,8 @@
 	// reclaimEvery is the pause between two looks at the cache stores.
 	reclaimEvery = 400 * time.Millisecond
 	// fetchesEnd is how long after the last host has seen a gate a fetch that began before can
-	// last: fetches are bounded to 2 s, and the request may be on its way for a moment.
-	fetchesEnd = 2700 * time.Millisecond
+	// last; the request may be on its way for a moment before.
+	fetchesEnd = cachedir.FetchMost + 1200*time.Millisecond
 	// reclaimFrom is the share of a store from which room is made for newer weights.
 	reclaimFrom = 0.5
 	// victimsMost bounds the parts that one call frees.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,19 +17,36 @@
 	// milliseconds, from the same sheets.
 	stepBase = 3.4
 	stepEach = 0.1
+	// stepRead is the time of a step in which a piece of 4,096 prompt tokens is read as well.
+	stepRead = 36.0
+	// unreadBusy is from how many unread tokens on an engine is taken to read all the time.
+	unreadBusy = 12000.0
+	// firstToken is what the first token takes on an idle engine, in milliseconds.
+	firstToken = 45.0
 	// crossZone is what a request pays for an endpoint in another zone: the round trip of about
 	// 2 ms, and the bytes, in milliseconds.
 	crossZone = 6.0
-	// oldWeights is what an endpoint with older weights costs; such answers lose a fifth of their
-	// worth, as much as being late by some hundred milliseconds.
-	oldWeights = 400.0
+	// oldWeights is what an engine with older weights costs. It is less than reading a long prompt
+	// again, so that conversations stay where their KV cache is while engines change weights.
+	oldWeights = 40.0
 	// failing is what an endpoint costs that fails every request, in milliseconds.
 	failing = 1500.0
 	// overflow is how long a request waits for an engine's memory when as much as the whole memory
 	// is asked for beyond what is there, in milliseconds.
-	overflow = 2500.0
+	overflow = 1200.0
+	// memoryPrice weighs the time for which a request takes memory from others, at a full engine.
+	memoryPrice = 2.0
+	// memoryFull is the share of an engine's memory from which requests wait.
+	memoryFull = 0.9
 	// plainWork is about how long a request without a model takes, in milliseconds.
 	plainWork = 40.0
+	// overdueShare is the share of the target from which an expected wait is too long. Waits are
+	// underestimated about as often as overestimated.
+	overdueShare = 1.0
+	// returnLeast is the least time after which a refused client may come back, and returnShare the
+	// largest share of the time that it has left.
+	returnLeast = 300 * time.Millisecond
+	returnShare = 0.3
 	// spread separates equal candidates, in milliseconds, by a hash that differs for each request.
 	spread = 2.0
 )
@@ -43,6 +60,8 @@
 		Zone string
 		// Tokens is the memory that the request takes; zero for services without a model.
 		Tokens int
+		// Output is how many tokens the request generates.
+		Output int
 		// Tried lists endpoints that are not to be chosen again.
 		Tried []string
 		// Model and Version name the weights wanted; zero means that any version will do.
@@ -105,25 +124,44 @@
 	return ch, ok
 }
 
+// Overdue reports whether a request that is expected to wait for its first token is refused rather
+// than sent: it would be late, and would make others late that can still be on time. Target is when
+// an answer is on time, left how long the client waits at all; zero targets bind nothing.
+func Overdue(wait, target, left time.Duration) bool {
+	return wait >= left || (target > 0 && wait > time.Duration(float64(target)*overdueShare))
+}
+
+// Return returns after which time a refused client should come back: when the excess has been
+// worked off, spread by the request's identifier so that clients do not return at once, and early
+// enough for the answer to be of use.
+func Return(id string, wait, target, left time.Duration) time.Duration {
+	unit := float64(rendezvous.Hash(id)>>11) / (1 << 53)
+	after := time.Duration(float64(max(returnLeast, wait-target)) * (0.7 + 0.6*unit))
+	return min(max(after, returnLeast), time.Duration(float64(left)*returnShare))
+}
+
 // cost returns what a candidate costs and the part of it that the client waits, in milliseconds.
 func (job Job) cost(ca *Candidate, version uint64) (cost, wait float64) {
 	load := ca.Sum()
 	if job.Model == "" {
 		slots := float64(max(1, ca.Slots))
 		wait = plainWork * float64(load.Requests) / slots
+		cost = wait
 	} else {
-		step := stepBase + stepEach*float64(load.Requests)
-		wait = step + float64(load.Unread+ca.Read)/readRate + float64(ca.Fetch)/float64(time.Millisecond)
-		if over := load.Tokens + job.Tokens - ca.Capacity*9/10; ca.Capacity > 0 && over > 0 {
-			wait += overflow * float64(over) / float64(ca.Capacity)
-		}
-		// A busier batch makes each token slower for all requests in it.
-		cost += 4 * step
+		capacity := float64(max(1, ca.Capacity))
+		unread := float64(load.Unread + ca.Read)
+		wait = firstToken + unread/readRate + float64(ca.Fetch)/float64(time.Millisecond)
+		used := float64(load.Tokens+job.Tokens) / capacity
+		wait += overflow * max(0, used-memoryFull)
+		// While prompts are read, each token of the others takes a whole piece of reading.
+		step := stepBase + stepEach*float64(load.Requests) + stepRead*min(1, unread/unreadBusy)
+		stay := wait + float64(job.Output)*step
+		cost = wait + memoryPrice*used*stay*float64(job.Tokens)/capacity
 		if version < job.Version {
 			cost += oldWeights
 		}
 	}
-	cost += wait + failing*ca.Failures
+	cost += failing * ca.Failures
 	if ca.Zone != job.Zone {
 		cost += crossZone
 	}
