--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 		opts     Options
 		catalog  atomic.Pointer[catalog.Catalog]
 		stopping atomic.Bool
+		closed   atomic.Bool
 		active   atomic.Int64
 	}
 )
@@ -91,6 +92,9 @@
 // Stop makes each answer end its connection from now on.
 func (gw *Gateway) Stop() { gw.stopping.Store(true) }
 
+// Close refuses new requests from now on. What is under way goes on.
+func (gw *Gateway) Close() { gw.closed.Store(true) }
+
 // Active returns how many requests are being served.
 func (gw *Gateway) Active() int { return int(gw.active.Load()) }
 
@@ -118,6 +122,10 @@
 		gw.unread(w, rq, err)
 		return
 	}
+	if gw.closed.Load() {
+		gw.refuse(w, rq, http.StatusServiceUnavailable, "stopping", soon, nil)
+		return
+	}
 	// The configuration may have changed while the body was on its way.
 	if ct = gw.catalog.Load(); ct == nil {
 		gw.refuse(w, rq, http.StatusServiceUnavailable, "no-configuration", soon, nil)
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// renewEvery is a third of the shortest lease in use, less a margin, so that two renewals may fail.
-	renewEvery = 800 * time.Millisecond
+	// renewShare is the part of the lease after which it is renewed, so that two renewals may fail.
+	renewShare = 4
 	// askEvery is how often a host without the lease looks whether it is free when it has heard
 	// nothing of its end.
 	askEvery = 2 * time.Second
-	// safety is how long before the end of the lease the holder stops, for calls under way.
-	safety = 400 * time.Millisecond
+	// safetyShare is the part of the lease before its end in which the holder acts no more, for calls
+	// under way.
+	safetyShare = 8
 )
 
 type (
@@ -109,8 +110,8 @@
 	}
 	se.mu.Lock()
 	se.lease, se.fence = lease, fence
-	se.from = se.opts.Boot() + se.opts.TTL + safety
-	se.until = asked + se.opts.TTL - safety
+	se.from = se.opts.Boot() + se.opts.TTL + se.opts.TTL/safetyShare
+	se.until = asked + se.opts.TTL - se.opts.TTL/safetyShare
 	se.mu.Unlock()
 	if se.opts.Changed != nil {
 		se.opts.Changed(true, fence)
@@ -122,7 +123,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-		case <-se.opts.Clock.After(renewEvery):
+		case <-se.opts.Clock.After(se.opts.TTL / renewShare):
 		}
 		asked := se.opts.Boot()
 		se.mu.Lock()
@@ -145,7 +146,7 @@
 			return
 		case err == nil:
 			se.mu.Lock()
-			se.until = asked + se.opts.TTL - safety
+			se.until = asked + se.opts.TTL - se.opts.TTL/safetyShare
 			se.mu.Unlock()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,10 +44,12 @@
 	memoryShare = 0.7
 	mebibyte    = 1 << 20
 	// stopMargin is how long before the end of a planned stop the process ends by itself.
-	stopMargin = 700 * time.Millisecond
-	// acceptFor is how long a stopping host still takes connections, until it is out of rotation:
-	// two questions a second apart and the time in between.
-	acceptFor = 3200 * time.Millisecond
+	stopMargin = 400 * time.Millisecond
+	// acceptFor is how long a stopping host still takes requests. Long ones that come later would
+	// not end in time. listenFor is until when it answers at all: by then it is out of rotation,
+	// after two questions a second apart.
+	acceptFor = 2600 * time.Millisecond
+	listenFor = 3400 * time.Millisecond
 	// loadingFor is how long a peer's word that an engine takes weights is believed.
 	loadingFor = 600 * time.Millisecond
 	sweepEvery = time.Second
@@ -217,6 +219,12 @@
 	return eg.Wait()
 }
 
+// Address returns the address for clients.
+func (no *Node) Address() string { return no.clients.Addr().String() }
+
+// ReadyAddress returns the address at which the host says whether it is ready.
+func (no *Node) ReadyAddress() string { return no.ready.Addr().String() }
+
 // stop takes the host out of rotation and waits for the requests under way.
 func (no *Node) stop(clients *http.Server, endDuties func()) {
 	no.stopping.Store(true)
@@ -225,6 +233,8 @@
 	no.log.WithField("active", no.gateway.Active()).Info("Host is stopping.")
 	deadline := no.ck.Now().Add(time.Duration(no.st.Bounds.StopMs)*time.Millisecond - stopMargin)
 	<-no.ck.After(acceptFor)
+	no.gateway.Close()
+	<-no.ck.After(listenFor - acceptFor)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := clients.Shutdown(ctx); err != nil {
