--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	// Node is a host that serves clients.
 	Node struct {
 		st       Settings
+		current  atomic.Pointer[Settings]
 		wo       World
 		ck       clock.Clock
 		log      *logrus.Logger
@@ -108,13 +109,9 @@
 		cache: cachedir.New(ck),
 	}
 	no.hosts.Store(1)
-	if st.MemoryMiB > 0 {
-		debug.SetMemoryLimit(int64(float64(st.MemoryMiB) * mebibyte * memoryShare))
-	}
-	no.budget = retry.NewWindows(ck, retry.Bound{
-		Ratio: st.Bounds.RepeatRatio, Slack: st.Bounds.RepeatSlack,
-		Window: time.Duration(st.Bounds.RepeatWindowS * float64(time.Second)),
-	})
+	no.current.Store(&st)
+	setMemory(st.MemoryMiB)
+	no.budget = retry.NewWindows(ck, bound(st.Bounds))
 	no.state = &state{
 		log: lg.WithField("part", "state"), decode: wo.Decoder, fleet: no.fleet, name: st.Name,
 		apply: no.apply, peers: no.setPeers,
@@ -138,7 +135,7 @@
 		Hosts:   func() int { return int(no.hosts.Load()) },
 		Weights: no.state.weights.wanted,
 		Expired: func(model string, version uint64) bool {
-			limit := time.Duration(float64(st.Bounds.WeightsMs) * weightsShare * float64(time.Millisecond))
+			limit := time.Duration(float64(no.settings().Bounds.WeightsMs) * weightsShare * float64(time.Millisecond))
 			return no.state.weights.expired(model, version, limit)
 		},
 	})
@@ -148,6 +145,12 @@
 	return no, nil
 }
 
+func setMemory(mib int) {
+	if mib > 0 {
+		debug.SetMemoryLimit(int64(float64(mib) * mebibyte * memoryShare))
+	}
+}
+
 func (no *Node) listen() error {
 	var err error
 	if no.exchange, err = peering.Listen(no.st.PeerListen, no.ck); err != nil {
@@ -231,7 +234,7 @@
 	no.gateway.Stop()
 	endDuties()
 	no.log.WithField("active", no.gateway.Active()).Info("Host is stopping.")
-	deadline := no.ck.Now().Add(time.Duration(no.st.Bounds.StopMs)*time.Millisecond - stopMargin)
+	deadline := no.ck.Now().Add(time.Duration(no.settings().Bounds.StopMs)*time.Millisecond - stopMargin)
 	<-no.ck.After(acceptFor)
 	no.gateway.Close()
 	<-no.ck.After(listenFor - acceptFor)
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -39,7 +39,6 @@
 	gates    cachedir.Gates
 	revision uint64
 	passed   time.Time
-	freed    uint64
 }
 
 // take takes the gates from the metadata store.
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -55,6 +55,16 @@
 	wi.hosts = max(1, n)
 }
 
+// SetBound changes the bound. What was counted is kept if the window stays as long.
+func (wi *Windows) SetBound(bound Bound) {
+	wi.mu.Lock()
+	defer wi.mu.Unlock()
+	if bound.Window != wi.bound.Window {
+		clear(wi.services)
+	}
+	wi.bound = bound
+}
+
 // Request counts the first attempt of a request.
 func (wi *Windows) Request(service string) {
 	wi.mu.Lock()
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -30,7 +30,6 @@
 		id      string
 		flaws   []Flaw
 		runs    []Run
-		calls   []Run
 		orders  []Order
 		version uint64
 		held    chan struct{}
--- a/programs/bergamotway/main.go
+++ b/programs/bergamotway/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
@@ -30,6 +32,8 @@
 
 	// settingsVariable names the settings file on the platform.
 	settingsVariable = "BERGAMOTWAY_SETTINGS"
+	// settingsEvery is the pause between looks at the settings file, which may change without a signal.
+	settingsEvery = 2 * time.Second
 	// flushLimit bounds writing the last log lines.
 	flushLimit = 200 * time.Millisecond
 )
@@ -120,9 +124,45 @@
 		return err
 	}
 	stop, _ := stopContexts()
+	go reload(stop, no, lg)
 	return no.Run(stop)
 }
 
+// reload puts changed settings in force, at SIGHUP or when the file has changed.
+func reload(ctx context.Context, no *node.Node, lg logrus.FieldLogger) {
+	path := os.Getenv(settingsVariable)
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	// The file was read a moment ago; one that cannot be read is told apart below.
+	last, _ := os.ReadFile(path)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		signalled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hups:
+			signalled = true
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(path)
+		if err == nil && bytes.Equal(data, last) && !signalled {
+			continue
+		}
+		st, loadErr := node.LoadSettings(path)
+		if err != nil || loadErr != nil {
+			if signalled || !bytes.Equal(data, last) {
+				lg.WithError(loadErr).Error("Settings are not valid; those before stay in force.")
+			}
+			last = data
+			continue
+		}
+		last = data
+		no.Reload(st)
+	}
+}
+
 // stopContexts returns a context that the first signal ends, and one that the second signal ends.
 func stopContexts() (stop, cut context.Context) {
 	stop, cancelStop := context.WithCancel(context.Background())
