--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/placement"
 	"github.com/bergamotway/bergamotway/internal/retry"
 )
 
@@ -51,6 +52,8 @@
 		Meter  Meter
 		// Zone is the availability zone of this host.
 		Zone string
+		// Policy chooses endpoints.
+		Policy placement.Policy
 		// Hosts returns how many hosts share the connections to each endpoint.
 		Hosts func() int
 		// Weights returns the version of a model that the operator named last; zero if none.
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -75,7 +75,7 @@
 		}
 		fw.weigh(cands)
 	}
-	ch, ok := placement.Choose(job, cands)
+	ch, ok := gw.opts.Policy.Choose(job, rq.session(), cands)
 	if !ok {
 		return plan{}, false
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -112,6 +112,14 @@
 	}
 )
 
+// session returns the last part that other requests share, which names the conversation.
+func (rq *Request) session() string {
+	if len(rq.Parts) < 2 {
+		return ""
+	}
+	return rq.Parts[len(rq.Parts)-2].ID
+}
+
 // tokens returns the memory that the request takes at an engine.
 func (rq *Request) tokens() int { return rq.PromptTokens + rq.OutputTokens }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/bergamotway/bergamotway/internal/leadership"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
+	"github.com/bergamotway/bergamotway/internal/placement"
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
 	"github.com/bergamotway/bergamotway/internal/upgrade"
@@ -131,7 +132,7 @@
 	no.state.named, no.state.vacant = no.upgrades.Target, no.seat.Vacant
 	no.gateway = gateway.New(gateway.Options{
 		Clock: ck, Codec: wo.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.budget,
-		Log: lg.WithField("part", "gateway"), Meter: wo.Meter, Zone: st.Zone,
+		Log: lg.WithField("part", "gateway"), Meter: wo.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		Hosts:   func() int { return int(no.hosts.Load()) },
 		Weights: no.state.weights.wanted,
 		Expired: func(model string, version uint64) bool {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -26,6 +26,8 @@
 		MemoryMiB int `json:"memory-mib" min:"0" max:"1048576"`
 		// LogLevel is the least level that is logged; empty means info.
 		LogLevel string `json:"log-level" one-of:"debug info warning error"`
+		// Placement is how endpoints are chosen; empty means by estimate. The others are baselines.
+		Placement string `json:"placement" one-of:"estimate least-outstanding affinity"`
 		// Bounds are what the operators hold hosts to.
 		Bounds Bounds `json:"bounds"`
 	}
@@ -56,11 +58,11 @@
 )
 
 // LoadSettings reads and checks a settings file. It returns settings.Faults with every fault and a
-// *settings.FileError if the file cannot be read.
-func LoadSettings(path string) (Settings, error) {
-	st := Settings{Bounds: Bounds{
+// *settings.FileError if the file cannot be read. Names that are not known are ignored and returned.
+func LoadSettings(path string) (st Settings, unknown []string, err error) {
+	st = Settings{Bounds: Bounds{
 		StopMs: defaultStopMs, LeaseMs: defaultLeaseMs, WeightsMs: defaultWeightsMs, RepeatWindowS: defaultRepeatWindowS,
 	}}
-	err := settings.Load(path, &st)
-	return st, err
+	unknown, err = settings.LoadKnown(path, &st)
+	return st, unknown, err
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/fleet"
@@ -101,13 +102,10 @@
 	seed := rendezvous.Hash(job.ID)
 	for i := range cands {
 		ca := &cands[i]
-		if ca.Expired || contains(job.Tried, ca.ID) {
-			continue
-		}
-		version, serves := ca.Version(job.Model)
-		if job.Model != "" && (!serves || (job.Only && version != job.Version)) {
+		if !job.allows(ca) {
 			continue
 		}
+		version, _ := ca.Version(job.Model)
 		cost, wait := job.cost(ca, version)
 		cost += spread * float64(rendezvous.Score(seed, rendezvous.Hash(ca.ID))>>40) / (1 << 24)
 		r := 0
@@ -124,6 +122,15 @@
 	return ch, ok
 }
 
+// allows reports whether a candidate may run the request at all.
+func (job Job) allows(ca *Candidate) bool {
+	if ca.Expired || slices.Contains(job.Tried, ca.ID) {
+		return false
+	}
+	version, serves := ca.Version(job.Model)
+	return job.Model == "" || (serves && (!job.Only || version == job.Version))
+}
+
 // Overdue reports whether a request that is expected to wait for its first token is refused rather
 // than sent: it would be late, and would make others late that can still be on time. Target is when
 // an answer is on time, left how long the client waits at all; zero targets bind nothing.
@@ -167,12 +174,3 @@
 	}
 	return cost, wait
 }
-
-func contains(list []string, text string) bool {
-	for _, entry := range list {
-		if entry == text {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -23,6 +23,9 @@
 	checker struct {
 		data   []byte
 		faults Faults
+		// lenient checkers collect unknown names instead of faulting them.
+		lenient bool
+		unknown []string
 	}
 
 	fieldRule struct {
@@ -82,6 +85,8 @@
 		switch {
 		case seen[mb.name]:
 			ck.fault(path+"."+mb.name, mb.value, "is named twice")
+		case !known && ck.lenient:
+			ck.unknown = append(ck.unknown, path+"."+mb.name)
 		case !known:
 			ck.fault(path+"."+mb.name, mb.value, unknownName(mb.name, fields))
 		default:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -70,23 +70,45 @@
 	return Decode(data, target)
 }
 
+// LoadKnown is Load for files that others write: names that target does not know are ignored and
+// returned, such as "$.limits.colour".
+func LoadKnown(path string, target any) (unknown []string, err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &FileError{path: path, cause: err}
+	}
+	return DecodeKnown(data, target)
+}
+
+// DecodeKnown is Decode for data that others write; see LoadKnown.
+func DecodeKnown(data []byte, target any) (unknown []string, err error) {
+	return decode(data, target, true)
+}
+
 // Decode reads data into target, a pointer to a struct. Fields that data does not name keep the
 // values that target already has. It returns Faults with every fault found.
 func Decode(data []byte, target any) error {
+	_, err := decode(data, target, false)
+	return err
+}
+
+func decode(data []byte, target any, lenient bool) (unknown []string, err error) {
 	ast, err := hujson.Parse(data)
 	if err != nil {
-		return Faults{{path: "$", line: lineOfError(err), value: "", problem: err.Error()}}
+		return nil, Faults{{path: "$", line: lineOfError(err), value: "", problem: err.Error()}}
 	}
-	ck := &checker{data: data}
+	ck := &checker{data: data, lenient: lenient}
 	ck.value("$", &ast, reflect.TypeOf(target).Elem(), fieldRule{})
 	if len(ck.faults) > 0 {
-		return ck.faults
+		return nil, ck.faults
 	}
 	ast.Standardize()
 	dec := json.NewDecoder(bytes.NewReader(ast.Pack()))
-	dec.DisallowUnknownFields()
+	if !lenient {
+		dec.DisallowUnknownFields()
+	}
 	if err := dec.Decode(target); err != nil {
-		return Faults{{path: "$", line: 1, problem: err.Error()}}
+		return nil, Faults{{path: "$", line: 1, problem: err.Error()}}
 	}
-	return nil
+	return ck.unknown, nil
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -58,6 +58,16 @@
 	require.Empty(t, s.Name, "nothing is read from a file with faults")
 }
 
+func TestDecodeKnownReturnsUnknownNames(t *testing.T) {
+	var s sample
+	unknown, err := settings.DecodeKnown([]byte(`{"name":"a","listen":"127.0.0.1:1","new":{"x":1},"inner":{"off":true}}`), &s)
+	require.NoError(t, err)
+	require.Equal(t, []string{"$.new", "$.inner.off"}, unknown)
+	require.Equal(t, "a", s.Name)
+	_, err = settings.DecodeKnown([]byte(`{"name":"a","listen":"no","new":1}`), &s)
+	require.Error(t, err, "known names are still checked")
+}
+
 func TestDecodeBrokenSyntax(t *testing.T) {
 	var s sample
 	var faults settings.Faults
--- a/programs/bergamotway/main.go
+++ b/programs/bergamotway/main.go
@@ -60,6 +60,12 @@
 				Flags:  []cli.Flag{settingsFlag()},
 				Action: checkSettings,
 			},
+			{
+				Name:   "check-gateway-settings",
+				Usage:  "print every fault of a gateway's settings file",
+				Flags:  []cli.Flag{settingsFlag()},
+				Action: checkGatewaySettings,
+			},
 			{
 				Name:  "version",
 				Usage: "print the version",
@@ -88,6 +94,20 @@
 	return err
 }
 
+func checkGatewaySettings(_ context.Context, cmd *cli.Command) error {
+	_, unknown, err := node.LoadSettings(cmd.String("settings"))
+	if err != nil {
+		return err
+	}
+	for _, name := range unknown {
+		if _, err := fmt.Fprintln(cmd.Root().Writer, "ignored:", name); err != nil {
+			return err
+		}
+	}
+	_, err = fmt.Fprintln(cmd.Root().Writer, "ok")
+	return err
+}
+
 func serve(_ context.Context, cmd *cli.Command) error {
 	st, err := host.LoadSettings(cmd.String("settings"))
 	if err != nil {
@@ -103,7 +123,7 @@
 
 // serveGateway runs a host on the platform. The platform names the settings file in the environment.
 func serveGateway(_ context.Context, _ *cli.Command) error {
-	st, err := node.LoadSettings(os.Getenv(settingsVariable))
+	st, unknown, err := node.LoadSettings(os.Getenv(settingsVariable))
 	if err != nil {
 		return err
 	}
@@ -111,6 +131,9 @@
 	defer queue.Close(flushLimit)
 	lg := logs.New(queue, st.LogLevel)
 	logs.Bound(lg, clock.System())
+	if len(unknown) > 0 {
+		lg.WithField("names", unknown).Warn("Unknown settings are ignored.")
+	}
 	meter, err := telemetry.New()
 	if err != nil {
 		return err
@@ -150,7 +173,7 @@
 		if err == nil && bytes.Equal(data, last) && !signalled {
 			continue
 		}
-		st, loadErr := node.LoadSettings(path)
+		st, _, loadErr := node.LoadSettings(path)
 		if err != nil || loadErr != nil {
 			if signalled || !bytes.Equal(data, last) {
 				lg.WithError(loadErr).Error("Settings are not valid; those before stay in force.")
--- a/programs/load/main.go
+++ b/programs/load/main.go
@@ -12,6 +12,7 @@
 	"github.com/bergamotway/bergamotway/programs/load/demo"
 	"github.com/bergamotway/bergamotway/programs/load/path"
 	"github.com/bergamotway/bergamotway/programs/load/routing"
+	"github.com/bergamotway/bergamotway/programs/load/site"
 )
 
 func main() {
@@ -20,6 +21,7 @@
 		Usage: "run the demo and the measurements",
 		Commands: []*cli.Command{
 			demo.Command(),
+			site.Command(),
 			routing.Command(),
 			control.Command(),
 			path.Command(),
