peering, cachedir, fleet: many hosts cost each host no more

With loads known late, all hosts chose the endpoints that were idle a moment ago. Change: beyond 12 hosts, hosts tell the lead of their zone, leads tell each other and their zone the sum, and what cache stores hold; watches are grouped; few candidates are weighed, near the conversation's cache store.

--- a/internal/cachedir/cachedir.go
+++ b/internal/cachedir/cachedir.go
@@ -18,6 +18,8 @@
 	savingFor = 3 * time.Second
 	// FetchMost bounds a fetch from its permission to its end.
 	FetchMost = 1500 * time.Millisecond
+	// heardMost is how long what is known of a store is used without a word of it.
+	heardMost = 1600 * time.Millisecond
 	// slowWeight is the weight of the newest transfer in what is known of a store's pace.
 	slowWeight = 0.2
 	// slowMost bounds how much slower than its link a store is taken to be.
@@ -91,6 +93,8 @@
 		stores map[string]*store
 		gates  Gates
 		permit func() bool
+		news   []News
+		tells  bool
 	}
 
 	// Location is a store that holds a part.
@@ -110,10 +114,14 @@
 		parts  map[Part]int
 		used   int
 		saving map[Part]saving
-		clock  int64
-		heard  time.Time
-		slow   float64
-		slowAt time.Time
+		// savingTokens is the sum over saving; swept is when those that are over were dropped last.
+		savingTokens int
+		swept        time.Time
+		hash         uint64
+		clock        int64
+		heard        time.Time
+		slow         float64
+		slowAt       time.Time
 	}
 
 	saving struct {
@@ -135,7 +143,7 @@
 	for _, info := range infos {
 		so := di.stores[info.Address]
 		if so == nil {
-			so = &store{parts: make(map[Part]int), saving: make(map[Part]saving)}
+			so = &store{hash: rendezvous.Hash(info.Address), parts: make(map[Part]int), saving: make(map[Part]saving)}
 		}
 		so.info = info
 		stores[info.Address] = so
@@ -169,6 +177,7 @@
 	so.hear(ev.Clock, di.ck.Now())
 	for _, ch := range ev.Changes {
 		so.change(ch)
+		di.tell(address, ch)
 	}
 	return true
 }
@@ -187,6 +196,7 @@
 	for _, ch := range li.Held {
 		ch.Added = true
 		so.change(ch)
+		di.tell(address, ch)
 	}
 }
 
@@ -210,7 +220,7 @@
 		if so.info.Managed && !allowed {
 			continue
 		}
-		if _, ok := so.parts[pt]; ok && so.synced && so.clock > 0 {
+		if _, ok := so.parts[pt]; ok && so.synced && so.clock > 0 && now.Sub(so.heard) < heardMost {
 			out = append(out, Location{
 				CacheStore: so.info, Clock: so.clock + now.Sub(so.heard).Milliseconds(), Slow: so.slowness(now),
 			})
@@ -231,26 +241,57 @@
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	now := di.ck.Now()
-	var (
-		best  *store
-		score float64
-	)
-	soonest := di.soonest()
-	for address, so := range di.stores {
+	for _, so := range di.stores {
 		if _, ok := so.parts[pt]; ok && so.slowness(now) < SlowStore {
 			return ""
 		}
 		if sv, ok := so.saving[pt]; ok && now.Before(sv.until) {
 			return ""
 		}
-		if _, ok := so.parts[pt]; ok || so.slowness(now) >= SlowStore {
+	}
+	best := di.choose(pt, tokens, now)
+	if best == nil {
+		return ""
+	}
+	best.saving[pt] = saving{tokens: tokens, until: now.Add(savingFor)}
+	best.savingTokens += tokens
+	return best.info.Address
+}
+
+// Home returns the availability zone of the store that holds a part, or would get it; empty if no
+// store does.
+func (di *Directory) Home(pt Part, tokens int) string {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	now := di.ck.Now()
+	for _, so := range di.stores {
+		if _, ok := so.parts[pt]; ok && so.synced && so.slowness(now) < SlowStore {
+			return so.info.Zone
+		}
+	}
+	if best := di.choose(pt, tokens, now); best != nil {
+		return best.info.Zone
+	}
+	return ""
+}
+
+// choose returns the store that should get a part; nil if none has room.
+func (di *Directory) choose(pt Part, tokens int, now time.Time) *store {
+	var (
+		best  *store
+		score float64
+	)
+	soonest := di.soonest()
+	key := rendezvous.Hash(pt.ID)
+	for _, so := range di.stores {
+		if _, ok := so.parts[pt]; ok || !so.synced || so.slowness(now) >= SlowStore {
 			continue
 		}
-		if !so.synced || so.reserved(now)+tokens > int(float64(so.info.CapacityTokens)*fillShare) {
+		if so.reserved(now)+tokens > int(float64(so.info.CapacityTokens)*fillShare) {
 			continue
 		}
 		// Weighted rendezvous: stores get parts in proportion to their room.
-		unit := float64(rendezvous.Score(rendezvous.Hash(pt.ID), rendezvous.Hash(address))>>11)/(1<<53) + 1e-12
+		unit := float64(rendezvous.Score(key, so.hash)>>11)/(1<<53) + 1e-12
 		sc := -float64(so.info.CapacityTokens) / math.Log(unit)
 		if (tokens <= smallPart) == (so.info.Setup <= soonest) {
 			sc += preferred
@@ -259,11 +300,7 @@
 			best, score = so, sc
 		}
 	}
-	if best == nil {
-		return ""
-	}
-	best.saving[pt] = saving{tokens: tokens, until: now.Add(savingFor)}
-	return best.info.Address
+	return best
 }
 
 // Observe records that a transfer that should have taken expected by the store's link took took.
@@ -305,6 +342,7 @@
 	so.synced, so.epoch, so.next, so.used = false, 0, 0, 0
 	clear(so.parts)
 	clear(so.saving)
+	so.savingTokens = 0
 }
 
 func (so *store) hear(ms int64, now time.Time) {
@@ -322,7 +360,10 @@
 		so.parts[ch.Part] = ch.Tokens
 		so.used += ch.Tokens
 	}
-	delete(so.saving, ch.Part)
+	if sv, ok := so.saving[ch.Part]; ok {
+		so.savingTokens -= sv.tokens
+		delete(so.saving, ch.Part)
+	}
 }
 
 // slowness returns how much longer than by its link transfers of the store take.
@@ -333,14 +374,16 @@
 	return 1 + (so.slow-1)*math.Exp2(-float64(now.Sub(so.slowAt))/float64(slowHalf))
 }
 
+// reserved returns the tokens that are kept or being saved.
 func (so *store) reserved(now time.Time) int {
-	sum := so.used
-	for pt, sv := range so.saving {
-		if now.After(sv.until) {
-			delete(so.saving, pt)
-			continue
+	if now.Sub(so.swept) > savingFor/10 {
+		so.swept = now
+		for pt, sv := range so.saving {
+			if now.After(sv.until) {
+				so.savingTokens -= sv.tokens
+				delete(so.saving, pt)
+			}
 		}
-		sum += sv.tokens
 	}
-	return sum
+	return so.used + so.savingTokens
 }
--- a/internal/cachedir/follow.go
+++ b/internal/cachedir/follow.go
@@ -9,6 +9,8 @@
 	// eventsWait bounds one question for events. A store that fell silent is forgotten after this,
 	// before it can have started anew and be written again.
 	eventsWait = 600 * time.Millisecond
+	// gatherPause is the pause between two questions, so that events come in groups.
+	gatherPause = 120 * time.Millisecond
 	// retryPause is the pause after a failed question.
 	retryPause = 300 * time.Millisecond
 	// preferred is above any score by room, so that parts go to the stores for their length first.
@@ -26,6 +28,10 @@
 				report(nil)
 			}
 			lost = false
+			select {
+			case <-ctx.Done():
+			case <-di.ck.After(gatherPause):
+			}
 			continue
 		}
 		if ctx.Err() != nil {
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -58,7 +58,9 @@
 	}
 
 	endpoint struct {
+		hash      uint64
 		entry     Entry
+		taught    time.Time
 		own       Load
 		peers     map[string]peerLoad
 		avoid     time.Time
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -11,6 +11,14 @@
 )
 
 const (
+	// freshHosts is up to how many hosts each knows the load of all others within 100 ms.
+	freshHosts = 12
+	// sampleFresh bounds the endpoints that are weighed for a request. With more hosts the loads
+	// known are older than most requests last, and all hosts would send to the few endpoints that
+	// were idle a moment ago; a choice among few is better then.
+	sampleFresh      = 18
+	sampleStale      = 4
+	sampleStalePlain = 2
 	// crossZoneFactor is how much longer a transfer between zones takes.
 	crossZoneFactor = 2
 	bitsPerByte     = 8
@@ -58,7 +66,8 @@
 // choose finds the endpoint for the next attempt; ok is false if there is none.
 func (fw *forwarding) choose(left time.Duration) (pl plan, ok bool) {
 	gw, rq := fw.gw, fw.rq
-	views := gw.opts.Fleet.Views(rq.service.Name)
+	near, most := fw.sample()
+	views := gw.opts.Fleet.Sample(rq.service.Name, near, rq.ID, most)
 	job := placement.Job{ID: rq.ID, Zone: gw.opts.Zone, Tried: fw.tried, Model: rq.Model}
 	if rq.service.Engine == nil {
 		job.Model = ""
@@ -98,6 +107,24 @@
 	return pl, true
 }
 
+// sample returns the zone in which the engine should be, because the conversation's KV cache lies
+// there, and among how many endpoints to choose.
+func (fw *forwarding) sample() (near string, most int) {
+	gw, rq := fw.gw, fw.rq
+	if gw.opts.Hosts() <= freshHosts {
+		return "", sampleFresh
+	}
+	if rq.service.Engine == nil || rq.Model == "" {
+		return "", sampleStalePlain
+	}
+	if len(rq.Parts) < 2 {
+		return "", sampleStale
+	}
+	pt := rq.Parts[len(rq.Parts)-2]
+	part := cachedir.Part{Salt: fw.salt(gw.opts.Weights(rq.Model)), ID: pt.ID}
+	return gw.opts.Cache.Home(part, pt.Tokens), sampleStale
+}
+
 // weigh works out for each candidate what it would read and fetch.
 func (fw *forwarding) weigh(cands []placement.Candidate) {
 	rq, en := fw.rq, fw.rq.service.Engine
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -34,8 +34,9 @@
 )
 
 // Follow delivers the state below prefix to fo until ctx ends. It reads the state whole, watches
-// from there, and reads it whole again when the store has dropped the history in between.
-func Follow(ctx context.Context, st Store, ck clock.Clock, prefix string, fo Follower) {
+// from there, and reads it whole again when the store has dropped the history in between. After each
+// watch that brought changes it pauses for what pause returns, so that changes come in groups.
+func Follow(ctx context.Context, st Store, ck clock.Clock, prefix string, pauseOf func() time.Duration, fo Follower) {
 	var (
 		revision uint64
 		known    bool
@@ -43,6 +44,7 @@
 	)
 	for ctx.Err() == nil {
 		var err error
+		gather := false
 		if known {
 			var ch Changes
 			ch, err = st.Watch(ctx, prefix, revision, watchWait)
@@ -55,6 +57,7 @@
 					fo.Change(ev)
 				}
 				revision = max(revision, ch.Revision)
+				gather = len(ch.Events) > 0
 			}
 		} else {
 			var sn Snapshot
@@ -67,6 +70,12 @@
 		if err == nil {
 			fo.Reached()
 			pause = retryFirst
+			if gather {
+				select {
+				case <-ctx.Done():
+				case <-ck.After(pauseOf()):
+				}
+			}
 			continue
 		}
 		fo.Lost(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,13 @@
 	// loadingFor is how long a peer's word that an engine takes weights is believed.
 	loadingFor = 600 * time.Millisecond
 	sweepEvery = time.Second
+	// taughtFor is for how long what was learned of an engine's weights is passed on; by then its
+	// entry says so.
+	taughtFor = 3 * time.Second
+	// gatherEach and gatherMost bound the pause between two watches: with many hosts, each answer
+	// of the store to all of them costs much, and a second's delay is within what changes may take.
+	gatherEach = 12 * time.Millisecond
+	gatherMost = 900 * time.Millisecond
 )
 
 type (
@@ -93,9 +100,8 @@
 		reclaim    *reclaim
 		registered atomic.Int64
 
-		mu        sync.Mutex
-		seen      map[string]uint64
-		following map[string]context.CancelFunc
+		mu   sync.Mutex
+		seen map[string]uint64
 	}
 )
 
@@ -104,7 +110,7 @@
 	ck := clock.System()
 	no := &Node{
 		st: st, wo: wo, ck: ck, log: lg,
-		following: make(map[string]context.CancelFunc), seen: make(map[string]uint64),
+		seen:  make(map[string]uint64),
 		fleet: fleet.New(fleet.Options{Clock: ck, Host: st.Name}),
 		pool:  attempt.NewPool(attempt.Options{Clock: ck, Opened: wo.Meter.Opened}),
 		cache: cachedir.New(ck),
@@ -154,7 +160,9 @@
 
 func (no *Node) listen() error {
 	var err error
-	if no.exchange, err = peering.Listen(no.st.PeerListen, no.ck); err != nil {
+	if no.exchange, err = peering.Listen(no.st.PeerListen, peering.Peer{
+		Name: no.st.Name, Zone: no.st.Zone, Weight: no.st.Weight,
+	}, no.ck); err != nil {
 		return err
 	}
 	if no.clients, err = net.Listen("tcp", no.st.Listen); err != nil {
@@ -180,10 +188,11 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var eg errgroup.Group
-	eg.Go(func() error { metastore.Follow(work, no.wo.Store, no.ck, "", no.state); return nil })
-	eg.Go(func() error { return no.exchange.Run(work, no.compose, no.receive) })
+	eg.Go(func() error { metastore.Follow(work, no.wo.Store, no.ck, "", no.gather, no.state); return nil })
+	eg.Go(func() error { return no.exchange.Run(work, (*source)(no)) })
 	eg.Go(func() error { no.keep(work); return nil })
 	eg.Go(func() error { no.sweep(work); return nil })
+	eg.Go(func() error { no.followCaches(work); return nil })
 	eg.Go(func() error { no.state.weights.record(work, no.wo.Store, no.recordDelay); return nil })
 	duties, endDuties := context.WithCancel(work)
 	defer endDuties()
@@ -260,47 +269,22 @@
 		return
 	}
 	no.cache.Configure(ct.Stores())
-	no.followCaches(ct.Stores())
 	no.log.WithFields(logrus.Fields{
 		"version": ct.Version(), "services": len(ct.Services()), "cache-stores": len(ct.Stores()),
 	}).Info("Configuration is in force.")
 }
 
-func (no *Node) followCaches(stores []catalog.CacheStore) {
-	no.mu.Lock()
-	defer no.mu.Unlock()
-	wanted := make(map[string]bool, len(stores))
-	for _, cs := range stores {
-		wanted[cs.Address] = true
-		if no.following[cs.Address] != nil {
-			continue
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		no.following[cs.Address] = cancel
-		go no.cache.Follow(ctx, no.wo.Caches, cs.Address, func(err error) {
-			fields := logrus.Fields{"dependency": "cache-store", "address": cs.Address}
-			if err != nil {
-				fields["cause"] = err.Error()
-				no.log.WithFields(fields).Warn("Dependency is lost.")
-				return
-			}
-			no.log.WithFields(fields).Info("Dependency is back.")
-		})
-	}
-	for address, cancel := range no.following {
-		if !wanted[address] {
-			cancel()
-			delete(no.following, address)
-		}
-	}
-}
-
 func (no *Node) setPeers(peers []peering.Peer) {
 	no.hosts.Store(int64(len(peers) + 1))
 	no.budget.SetHosts(len(peers) + 1)
 	no.exchange.SetPeers(peers)
 }
 
+// gather returns the pause between two watches of the metadata store.
+func (no *Node) gather() time.Duration {
+	return min(time.Duration(no.hosts.Load())*gatherEach, gatherMost)
+}
+
 // recordDelay is longer for hosts further behind in an order that is the same everywhere.
 func (no *Node) recordDelay() time.Duration {
 	no.state.mu.Lock()
@@ -318,44 +302,6 @@
 	no.log.WithFields(logrus.Fields{"held": held, "fence": fence}).Info("Duty of weights changed hands.")
 }
 
-// compose returns what the peers are told.
-func (no *Node) compose() peering.Digest {
-	dg := peering.Digest{Host: no.st.Name, Seen: no.state.seen.Load()}
-	for id, ld := range no.fleet.OwnLoads() {
-		dg.Loads = append(dg.Loads, peering.Load{Endpoint: id, Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
-	}
-	for _, id := range no.upgrades.Loading() {
-		dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Loading: true})
-	}
-	for _, vw := range no.fleet.All() {
-		for model, version := range vw.Models {
-			if want := no.state.weights.wanted(model); want > 0 && version == want {
-				dg.Weights = append(dg.Weights, peering.Weights{Endpoint: vw.ID, Model: model, Version: version})
-			}
-		}
-	}
-	return dg
-}
-
-// receive takes what a peer tells.
-func (no *Node) receive(dg peering.Digest) {
-	loads := make(map[string]fleet.Load, len(dg.Loads))
-	for _, ld := range dg.Loads {
-		loads[ld.Endpoint] = fleet.Load{Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread}
-	}
-	no.fleet.PeerLoads(dg.Host, loads)
-	no.mu.Lock()
-	no.seen[dg.Host] = dg.Seen
-	no.mu.Unlock()
-	for _, we := range dg.Weights {
-		if we.Loading {
-			no.fleet.Loading(we.Endpoint, no.ck.Now().Add(loadingFor))
-			continue
-		}
-		no.fleet.Newer(we.Endpoint, we.Model, we.Version)
-	}
-}
-
 // mayFetch reports whether the other hosts know of this one, so that what it fetches is not freed
 // meanwhile. It must have seen its own item, and with it all gates from before.
 func (no *Node) mayFetch() bool {
@@ -393,7 +339,7 @@
 // keep registers the host in the metadata store, so that others find it.
 func (no *Node) keep(ctx context.Context) {
 	var lease uint64
-	value, err := json.Marshal(hostItem{Zone: no.st.Zone, Address: no.exchange.Address()})
+	value, err := json.Marshal(hostItem{Zone: no.st.Zone, Weight: no.st.Weight, Address: no.exchange.Address()})
 	if err != nil {
 		no.log.WithField("cause", err.Error()).Error("Host's item is not valid.")
 		return
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -24,6 +24,9 @@
 		Store string `json:"metadata-store" check:"required ip-port"`
 		// MemoryMiB is the memory of the process; zero means that it is not bounded.
 		MemoryMiB int `json:"memory-mib" min:"0" max:"1048576"`
+		// Weight is the strength of the host, such as its share of a core; strong hosts do more for
+		// the others.
+		Weight float64 `json:"weight" min:"0" max:"1000"`
 		// LogLevel is the least level that is logged; empty means info.
 		LogLevel string `json:"log-level" one-of:"debug info warning error"`
 		// Placement is how endpoints are chosen; empty means by estimate. The others are baselines.
--- /dev/null
+++ b/internal/node/source.go
@@ -0,0 +1,156 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bergamotway/bergamotway/internal/cachedir"
+	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/peering"
+)
+
+const (
+	// newsMost bounds the changes of cache stores in one digest.
+	newsMost = 500
+	// roleEvery is the pause between looks at whether this host follows the cache stores.
+	roleEvery = 250 * time.Millisecond
+	// listSpread is over which time hosts that start list the cache stores.
+	listSpread = 1500 * time.Millisecond
+)
+
+// source is what the exchange asks of a host.
+type source Node
+
+var _ peering.Source = (*source)(nil)
+
+// Compose returns what this host knows itself.
+func (so *source) Compose() peering.Digest {
+	no := (*Node)(so)
+	dg := peering.Digest{Host: no.st.Name, Seen: no.state.seen.Load()}
+	for id, ld := range no.fleet.OwnLoads() {
+		dg.Loads = append(dg.Loads, peering.Load{Endpoint: id, Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
+	}
+	for _, id := range no.upgrades.Loading() {
+		dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Loading: true})
+	}
+	for id, models := range no.fleet.Taught(taughtFor) {
+		for model, version := range models {
+			dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Model: model, Version: version})
+		}
+	}
+	return dg
+}
+
+// News returns what is new of the cache stores.
+func (so *source) News() peering.Digest {
+	no := (*Node)(so)
+	var dg peering.Digest
+	news, states := no.cache.News(newsMost)
+	for _, st := range states {
+		dg.Stores = append(dg.Stores, peering.Store(st))
+	}
+	for _, ne := range news {
+		dg.Cache = append(dg.Cache, peering.Part{
+			Address: ne.Address, Salt: ne.Salt, ID: ne.ID, Tokens: ne.Tokens, Gone: !ne.Added,
+		})
+	}
+	return dg
+}
+
+// Receive takes what peers know.
+func (so *source) Receive(dg peering.Digest) {
+	no := (*Node)(so)
+	loads := make(map[string]fleet.Load, len(dg.Loads))
+	for _, ld := range dg.Loads {
+		loads[ld.Endpoint] = fleet.Load{Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread}
+	}
+	from := dg.Host
+	if dg.Tier != peering.Direct {
+		from = "total"
+	}
+	no.fleet.PeerLoads(from, loads)
+	no.mu.Lock()
+	if dg.Tier == peering.Direct {
+		no.seen[dg.Host] = dg.Seen
+	}
+	for name, seen := range dg.Hosts {
+		no.seen[name] = seen
+	}
+	no.mu.Unlock()
+	for _, we := range dg.Weights {
+		if we.Loading {
+			no.fleet.Loading(we.Endpoint, no.ck.Now().Add(loadingFor))
+			continue
+		}
+		no.fleet.Newer(we.Endpoint, we.Model, we.Version)
+	}
+	if no.exchange.Follows() {
+		return
+	}
+	for _, st := range dg.Stores {
+		if no.cache.Hear(cachedir.State(st)) {
+			go no.list(st.Address)
+		}
+	}
+	for _, pt := range dg.Cache {
+		no.cache.Learn(pt.Address, cachedir.Change{
+			Part: cachedir.Part{Salt: pt.Salt, ID: pt.ID}, Added: !pt.Gone, Tokens: pt.Tokens,
+		})
+	}
+}
+
+// list asks a cache store that another host follows what it holds, once.
+func (no *Node) list(address string) {
+	<-no.ck.After(rand.N(listSpread))
+	li, err := no.wo.Caches.List(context.Background(), address)
+	if err != nil {
+		// Its parts become known as they are saved anew.
+		no.log.WithFields(logrus.Fields{"address": address, "cause": err.Error()}).Warn("Cache store did not list its parts.")
+		return
+	}
+	no.cache.Add(address, li)
+}
+
+// followCaches follows the cache stores while this host should, until ctx ends.
+func (no *Node) followCaches(ctx context.Context) {
+	following := make(map[string]context.CancelFunc)
+	for {
+		wanted := make(map[string]bool)
+		no.cache.Tell(no.exchange.Leads())
+		if ct := no.gateway.Catalog(); ct != nil && no.exchange.Follows() {
+			for _, cs := range ct.Stores() {
+				wanted[cs.Address] = true
+			}
+		}
+		for address := range wanted {
+			if following[address] == nil {
+				one, cancel := context.WithCancel(ctx)
+				following[address] = cancel
+				go no.cache.Follow(one, no.wo.Caches, address, func(err error) { no.reportCache(address, err) })
+			}
+		}
+		for address, cancel := range following {
+			if !wanted[address] {
+				cancel()
+				delete(following, address)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-no.ck.After(roleEvery):
+		}
+	}
+}
+
+func (no *Node) reportCache(address string, err error) {
+	lg := no.log.WithFields(logrus.Fields{"dependency": "cache-store", "address": address})
+	if err != nil {
+		lg.WithField("cause", err.Error()).Warn("Dependency is lost.")
+		return
+	}
+	lg.Info("Dependency is back.")
+}
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -45,8 +45,9 @@
 
 	// hostItem is what a host says of itself in the metadata store.
 	hostItem struct {
-		Zone    string `json:"zone"`
-		Address string `json:"address"`
+		Zone    string  `json:"zone"`
+		Address string  `json:"address"`
+		Weight  float64 `json:"weight,omitempty"`
 	}
 
 	// state takes what the metadata store says and passes it to the parts that use it. Replace,
@@ -265,7 +266,7 @@
 	if err != nil {
 		return peering.Peer{}, false
 	}
-	return peering.Peer{Name: name, Zone: hi.Zone, Address: ap}, true
+	return peering.Peer{Name: name, Zone: hi.Zone, Weight: hi.Weight, Address: ap}, true
 }
 
 // knows reports whether a host is registered.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -19,6 +19,8 @@
 	// every is the pause between two digests. Endpoints run a request for some 300 ms, so that
 	// older digests would say little.
 	every = 100 * time.Millisecond
+	// everyTier is the pause where leads sum up, which many hosts receive.
+	everyTier = 200 * time.Millisecond
 	// digestBytes bounds a datagram.
 	digestBytes = 60 << 10
 )
@@ -40,8 +42,33 @@
 		Loading  bool   `json:"l,omitempty"`
 	}
 
+	// Store is what a lead knows of a cache store.
+	Store struct {
+		Address string `json:"a"`
+		Epoch   uint64 `json:"e"`
+		Clock   int64  `json:"c"`
+	}
+
+	// Part is a change of what a cache store holds.
+	Part struct {
+		Address string `json:"a"`
+		Salt    string `json:"s"`
+		ID      string `json:"i"`
+		Tokens  int    `json:"t,omitempty"`
+		Gone    bool   `json:"g,omitempty"`
+	}
+
 	// Digest is what one host tells the others.
 	Digest struct {
+		// Tier says how it travels, and Zone which zone it sums up.
+		Tier Tier   `json:"x,omitempty"`
+		Zone string `json:"z,omitempty"`
+		// Hosts is Seen of the hosts that the digest sums up.
+		Hosts map[string]uint64 `json:"o,omitempty"`
+		// Stores and Cache are what a lead knows of cache stores.
+		Stores []Store `json:"k,omitempty"`
+		Cache  []Part  `json:"p,omitempty"`
+
 		Host   string `json:"h"`
 		Number uint64 `json:"n"`
 		// Seen is the revision of the metadata store up to which the host knows all changes.
@@ -55,6 +82,23 @@
 		Name    string
 		Zone    string
 		Address netip.AddrPort
+		// Weight is the strength of the host; strong hosts lead.
+		Weight float64
+	}
+
+	// Source is what an exchange asks of its host. Its methods are called from one goroutine.
+	Source interface {
+		// Compose returns what the host knows itself.
+		Compose() Digest
+		// News returns what is new of the cache stores, if this host leads its zone.
+		News() Digest
+		// Receive takes what peers know. It is called from two goroutines.
+		Receive(dg Digest)
+	}
+
+	outgoing struct {
+		digest Digest
+		peers  []Peer
 	}
 
 	// Exchange sends and receives digests. It is safe for concurrent use.
@@ -62,14 +106,21 @@
 		ck   clock.Clock
 		conn *net.UDPConn
 
-		mu    sync.Mutex
-		peers []Peer
-		last  map[string]uint64
+		mu        sync.Mutex
+		self      Peer
+		peers     []Peer
+		last      map[string]uint64
+		reports   map[string]received
+		zones     map[string]received
+		sent      []Load
+		leadHeard time.Time
 	}
 )
 
 // Listen returns an exchange at address, an IP number and a port.
-func Listen(address string, ck clock.Clock) (*Exchange, error) {
+//
+// Self is this host; its address is taken from address.
+func Listen(address string, self Peer, ck clock.Clock) (*Exchange, error) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "peering: address")
@@ -78,7 +129,10 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "peering: listen")
 	}
-	return &Exchange{ck: ck, conn: conn, last: make(map[string]uint64)}, nil
+	return &Exchange{
+		ck: ck, conn: conn, self: self, leadHeard: ck.Now(),
+		last: make(map[string]uint64), reports: make(map[string]received), zones: make(map[string]received),
+	}, nil
 }
 
 // Address returns the address at which the exchange listens.
@@ -91,12 +145,12 @@
 	ex.peers = peers
 }
 
-// Run sends what compose returns to all peers, and passes what they send to receive, until ctx ends.
-// Lost datagrams are not repeated, since the next one replaces them.
-func (ex *Exchange) Run(ctx context.Context, compose func() Digest, receive func(Digest)) error {
+// Run tells the peers what the host knows, and the host what they tell, until ctx ends. Lost
+// datagrams are not repeated, since the next one replaces them.
+func (ex *Exchange) Run(ctx context.Context, host Source) error {
 	stop := context.AfterFunc(ctx, func() { _ = ex.conn.Close() })
 	defer stop()
-	go ex.send(ctx, compose)
+	go ex.send(ctx, host)
 	buf := make([]byte, digestBytes)
 	for {
 		n, _, err := ex.conn.ReadFromUDPAddrPort(buf)
@@ -113,35 +167,46 @@
 		if json.Unmarshal(buf[:n], &dg) != nil || !ex.isNewer(dg) {
 			continue
 		}
-		receive(dg)
+		if dg, ok := ex.take(dg); ok {
+			host.Receive(dg)
+		}
 	}
 }
 
-func (ex *Exchange) send(ctx context.Context, compose func() Digest) {
+func (ex *Exchange) send(ctx context.Context, host Source) {
 	// Numbers begin at the time of day, so that those of a host that starts anew go on.
 	number := uint64(ex.ck.Now().UnixMilli())
 	for {
+		pause := every
+		ex.mu.Lock()
+		if !ex.isFlat() {
+			pause = everyTier
+		}
+		alone := len(ex.peers) == 0
+		ex.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return
-		case <-ex.ck.After(every):
+		case <-ex.ck.After(pause):
 		}
-		ex.mu.Lock()
-		peers := ex.peers
-		ex.mu.Unlock()
-		if len(peers) == 0 {
+		if alone {
 			continue
 		}
-		dg := compose()
-		number++
-		dg.Number = number
-		data, err := json.Marshal(dg)
-		if err != nil || len(data) > digestBytes {
-			continue
+		out, local := ex.targets(host.Compose(), host.News)
+		if local != nil {
+			host.Receive(*local)
 		}
-		for _, pe := range peers {
-			// A peer that cannot be reached gets the next digest.
-			_, _ = ex.conn.WriteToUDPAddrPort(data, pe.Address)
+		for _, og := range out {
+			number++
+			og.digest.Number = number
+			data, err := json.Marshal(og.digest)
+			if err != nil || len(data) > digestBytes {
+				continue
+			}
+			for _, pe := range og.peers {
+				// A peer that cannot be reached gets the next digest.
+				_, _ = ex.conn.WriteToUDPAddrPort(data, pe.Address)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/peering/tier.go
@@ -0,0 +1,223 @@
+package peering
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bergamotway/bergamotway/internal/rendezvous"
+)
+
+const (
+	// flatMost is up to how many hosts each tells all others. Beyond that, the hosts of a zone tell
+	// its lead, leads tell each other, and each lead tells its zone the sum, so that what a host
+	// sends and receives does not grow with the number of hosts.
+	flatMost = 12
+	// leadSilence is how long the lead of a zone may be silent before the next host takes over, and
+	// leadStep how much longer each host further behind waits.
+	leadSilence = 700 * time.Millisecond
+	leadStep    = 300 * time.Millisecond
+	// leadsTold is how many hosts of each zone are told, in case the first does not lead.
+	leadsTold = 2
+	// reportAge is after how long a report counts no more.
+	reportAge = time.Second
+)
+
+// Tier says how a digest travels.
+type Tier int
+
+const (
+	// Direct digests go from each host to all others.
+	Direct Tier = iota
+	// Report digests go from a host to the lead of its zone.
+	Report
+	// Zone digests go from lead to lead, and sum up a zone.
+	Zone
+	// Total digests go from a lead to the hosts of its zone, and sum up all.
+	Total
+)
+
+type received struct {
+	digest Digest
+	at     time.Time
+}
+
+// merge sums up digests.
+func merge(list ...Digest) Digest {
+	var out Digest
+	loads := make(map[string]Load)
+	weights := make(map[Weights]bool)
+	out.Hosts = make(map[string]uint64)
+	for _, dg := range list {
+		for _, ld := range dg.Loads {
+			sum := loads[ld.Endpoint]
+			sum.Endpoint = ld.Endpoint
+			sum.Requests += ld.Requests
+			sum.Tokens += ld.Tokens
+			sum.Unread += ld.Unread
+			loads[ld.Endpoint] = sum
+		}
+		for _, we := range dg.Weights {
+			weights[we] = true
+		}
+		for name, seen := range dg.Hosts {
+			out.Hosts[name] = max(out.Hosts[name], seen)
+		}
+		if dg.Tier == Direct || dg.Tier == Report {
+			out.Hosts[dg.Host] = dg.Seen
+		}
+	}
+	for _, ld := range loads {
+		out.Loads = append(out.Loads, ld)
+	}
+	for we := range weights {
+		out.Weights = append(out.Weights, we)
+	}
+	return out
+}
+
+// subtract returns loads without a host's own part of them.
+func subtract(loads, own []Load) []Load {
+	mine := make(map[string]Load, len(own))
+	for _, ld := range own {
+		mine[ld.Endpoint] = ld
+	}
+	out := make([]Load, 0, len(loads))
+	for _, ld := range loads {
+		me := mine[ld.Endpoint]
+		out = append(out, Load{
+			Endpoint: ld.Endpoint,
+			Requests: max(0, ld.Requests-me.Requests),
+			Tokens:   max(0, ld.Tokens-me.Tokens),
+			Unread:   max(0, ld.Unread-me.Unread),
+		})
+	}
+	return out
+}
+
+// ranked returns the hosts of a zone, the one that should lead first: strong hosts go before others.
+func ranked(hosts []Peer, zone string) []Peer {
+	var out []Peer
+	for _, pe := range hosts {
+		if pe.Zone == zone {
+			out = append(out, pe)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		if c := cmp.Compare(b.Weight, a.Weight); c != 0 {
+			return c
+		}
+		return cmp.Compare(rendezvous.Hash(a.Name), rendezvous.Hash(b.Name))
+	})
+	return out
+}
+
+// Leads reports whether this host leads its zone, and so tells it what it knows of cache stores.
+func (ex *Exchange) Leads() bool {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	return !ex.isFlat() && ex.isLead()
+}
+
+// Follows reports whether this host follows cache stores itself: as the lead of its zone, or because
+// there are few hosts.
+func (ex *Exchange) Follows() bool {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	return ex.isFlat() || ex.isLead()
+}
+
+func (ex *Exchange) isFlat() bool { return len(ex.peers)+1 <= flatMost }
+
+func (ex *Exchange) rank() (rank int, zone []Peer) {
+	zone = ranked(append([]Peer{ex.self}, ex.peers...), ex.self.Zone)
+	return slices.IndexFunc(zone, func(pe Peer) bool { return pe.Name == ex.self.Name }), zone
+}
+
+func (ex *Exchange) isLead() bool {
+	rank, _ := ex.rank()
+	return rank == 0 || ex.ck.Now().Sub(ex.leadHeard) > leadSilence+time.Duration(rank)*leadStep
+}
+
+// targets returns what is sent in one round: the digest for each set of peers.
+func (ex *Exchange) targets(own Digest, news func() Digest) (out []outgoing, local *Digest) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	if ex.isFlat() {
+		own.Tier = Direct
+		return []outgoing{{digest: own, peers: ex.peers}}, nil
+	}
+	now := ex.ck.Now()
+	rank, zone := ex.rank()
+	ex.sent = own.Loads
+	own.Tier = Report
+	if !ex.isLead() {
+		return []outgoing{{digest: own, peers: zone[:min(rank, leadsTold)]}}, nil
+	}
+	sums := []Digest{own}
+	for name, re := range ex.reports {
+		if now.Sub(re.at) > reportAge {
+			delete(ex.reports, name)
+			continue
+		}
+		sums = append(sums, re.digest)
+	}
+	mine := merge(sums...)
+	mine.Host, mine.Tier, mine.Zone = ex.self.Name, Zone, ex.self.Zone
+	var others []Peer
+	zones := make(map[string]bool)
+	for _, pe := range ex.peers {
+		if pe.Zone != ex.self.Zone && !zones[pe.Zone] {
+			zones[pe.Zone] = true
+			far := ranked(ex.peers, pe.Zone)
+			others = append(others, far[:min(len(far), leadsTold)]...)
+		}
+	}
+	all := []Digest{mine}
+	for name, re := range ex.zones {
+		if now.Sub(re.at) > reportAge {
+			delete(ex.zones, name)
+			continue
+		}
+		all = append(all, re.digest)
+	}
+	total := merge(all...)
+	total.Host, total.Tier = ex.self.Name, Total
+	added := news()
+	total.Stores, total.Cache = added.Stores, added.Cache
+	members := make([]Peer, 0, len(zone))
+	for _, pe := range zone {
+		if pe.Name != ex.self.Name {
+			members = append(members, pe)
+		}
+	}
+	at := total
+	at.Loads = subtract(total.Loads, own.Loads)
+	at.Stores, at.Cache = nil, nil
+	return []outgoing{{digest: mine, peers: others}, {digest: total, peers: members}}, &at
+}
+
+// take sorts in what has arrived. It returns what the host should know, if anything.
+func (ex *Exchange) take(dg Digest) (Digest, bool) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	now := ex.ck.Now()
+	switch dg.Tier {
+	case Report:
+		ex.reports[dg.Host] = received{digest: dg, at: now}
+		return Digest{}, false
+	case Zone:
+		ex.zones[dg.Zone] = received{digest: dg, at: now}
+		return Digest{}, false
+	case Total:
+		rank, zone := ex.rank()
+		from := slices.IndexFunc(zone, func(pe Peer) bool { return pe.Name == dg.Host })
+		if from >= 0 && from < rank {
+			ex.leadHeard = now
+		}
+		dg.Loads = subtract(dg.Loads, ex.sent)
+		return dg, true
+	default:
+		return dg, true
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -35,6 +35,9 @@
 	// overflow is how long a request waits for an engine's memory when as much as the whole memory
 	// is asked for beyond what is there, in milliseconds.
 	overflow = 1200.0
+	// slotWait is about how long a request holds a slot of an engine, in milliseconds; a request that
+	// finds all slots taken waits for its part of that.
+	slotWait = 400.0
 	// memoryPrice weighs the time for which a request takes memory from others, at a full engine.
 	memoryPrice = 2.0
 	// memoryFull is the share of an engine's memory from which requests wait.
@@ -160,6 +163,9 @@
 		wait = firstToken + unread/readRate + float64(ca.Fetch)/float64(time.Millisecond)
 		used := float64(load.Tokens+job.Tokens) / capacity
 		wait += overflow * max(0, used-memoryFull)
+		if over := load.Requests + 1 - ca.Slots; ca.Slots > 0 && over > 0 {
+			wait += slotWait * float64(over) / float64(ca.Slots)
+		}
 		// While prompts are read, each token of the others takes a whole piece of reading.
 		step := stepBase + stepEach*float64(load.Requests) + stepRead*min(1, unread/unreadBusy)
 		stay := wait + float64(job.Output)*step
--- a/programs/load/site/site.go
+++ b/programs/load/site/site.go
@@ -265,7 +265,7 @@
 func (de *demo) close() {
 	// A process that has ended already cannot be killed.
 	_ = de.process.Process.Kill()
-	<-de.exited
+	_ = <-de.exited
 	de.engine.Close()
 	de.plain.Close()
 	de.store.Close()
