cachedir, leadership: copies of hot parts, one host seeks a vacant seat

Cause: the four parts that all conversations begin with lay in one cache store each, whose links carried every fetch of them; each of 75 hosts asked for the vacant or taken seat every two seconds. Change: wide parts get a copy in each quick store; hosts seek a seat that is known to be free, strong ones first; watches are grouped within a share of the time that changes may take.

--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -8,6 +8,7 @@
 	"github.com/bergamotway/bergamotway/internal/cachedir"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/placement"
+	"github.com/bergamotway/bergamotway/internal/rendezvous"
 )
 
 const (
@@ -154,7 +155,7 @@
 				// Parts behind one that has to be read are read as well.
 				break
 			}
-			_, took, _ := nearest(located[k], ca.Zone, pt.Tokens, en.TokenBytes)
+			_, took, _ := nearest(located[k], ca.Zone, rq.ID, pt.Tokens, en.TokenBytes)
 			if !worthFetching(took, pt.Tokens) {
 				break
 			}
@@ -185,7 +186,7 @@
 	for k, pt := range rq.Parts[:len(rq.Parts)-1] {
 		cp := cachedir.Part{Salt: salt, ID: pt.ID}
 		locs := fw.gw.opts.Cache.Find(cp)
-		if lo, took, byLink := nearest(locs, ca.Zone, pt.Tokens, en.TokenBytes); len(locs) > 0 && worthFetching(took, pt.Tokens) {
+		if lo, took, byLink := nearest(locs, ca.Zone, rq.ID, pt.Tokens, en.TokenBytes); len(locs) > 0 && worthFetching(took, pt.Tokens) {
 			fetch[k], fetches = lo.Address, true
 			pl.sources = append(pl.sources, source{Address: lo.Address, Expected: byLink})
 			expected += took
@@ -193,7 +194,7 @@
 		} else if version < fw.gw.opts.Weights(rq.Model) {
 			// What is kept of older weights is of no use soon.
 			continue
-		} else if address := fw.gw.opts.Cache.Claim(cp, pt.Tokens); address != "" {
+		} else if address := fw.gw.opts.Cache.Claim(cp, pt.Tokens, k < len(rq.Parts)-2); address != "" {
 			save[k], saves = address, true
 		}
 		fw.gw.opts.Fleet.Used(ca.ID, salt+pt.ID, pt.Tokens, en.CapacityTokens)
@@ -219,7 +220,11 @@
 
 // nearest returns the store from which a part is fetched soonest, how long that takes lately, and
 // how long it should take by the link alone.
-func nearest(locs []cachedir.Location, zone string, tokens, tokenBytes int) (best cachedir.Location, least, byLink time.Duration) {
+//
+// Equal stores are taken by the identifier of the request, so that all links carry their part.
+func nearest(locs []cachedir.Location, zone, request string, tokens, tokenBytes int) (best cachedir.Location, least, byLink time.Duration) {
+	var chosen uint64
+	key := rendezvous.Hash(request)
 	for i, lo := range locs {
 		seconds := float64(tokens) * float64(tokenBytes) * bitsPerByte / (lo.LinkMbps * 1e6)
 		if lo.Zone != zone {
@@ -227,8 +232,12 @@
 		}
 		plain := lo.Setup + time.Duration(seconds*float64(time.Second))
 		took := time.Duration(float64(plain) * lo.Slow)
-		if i == 0 || took < least {
-			best, least, byLink = lo, took, plain
+		score := uint64(0)
+		if len(locs) > 1 {
+			score = rendezvous.Score(key, rendezvous.Hash(lo.Address))
+		}
+		if i == 0 || took < least || (took == least && score > chosen) {
+			best, least, byLink, chosen = lo, took, plain, score
 		}
 	}
 	return best, least, byLink
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -37,6 +37,10 @@
 		// TTL is the length of the lease. A new holder also waits that long before it acts, so that
 		// nothing the one before has sent is still on its way.
 		TTL time.Duration
+		// Turn returns how long this host waits before it seeks a vacant seat, so that mostly one host
+		// does; zero if nil. Taken reports whether the holder's item is known to exist; false if nil.
+		Turn  func() time.Duration
+		Taken func() bool
 		// Changed is called when this host gains or loses the seat; it may be nil.
 		Changed func(held bool, fence uint64)
 	}
@@ -82,8 +86,17 @@
 // Run seeks the seat and holds it until ctx ends; then it gives the seat up.
 func (se *Seat) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := se.seek(ctx); err == nil {
-			se.hold(ctx)
+		if se.opts.Turn != nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-se.opts.Clock.After(se.opts.Turn()):
+			}
+		}
+		if se.opts.Taken == nil || !se.opts.Taken() {
+			if err := se.seek(ctx); err == nil {
+				se.hold(ctx)
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,10 +57,13 @@
 	// taughtFor is for how long what was learned of an engine's weights is passed on; by then its
 	// entry says so.
 	taughtFor = 3 * time.Second
-	// gatherEach and gatherMost bound the pause between two watches: with many hosts, each answer
-	// of the store to all of them costs much, and a second's delay is within what changes may take.
-	gatherEach = 12 * time.Millisecond
-	gatherMost = 900 * time.Millisecond
+	// gatherEach is the pause between two watches for each host, since each answer of the store to
+	// all hosts costs much. gatherShare bounds it, as a share of the time in which changes must be in
+	// force.
+	gatherEach  = 18 * time.Millisecond
+	gatherShare = 0.42
+	// turnEach is how much later each host further behind in a common order seeks a vacant seat.
+	turnEach = 120 * time.Millisecond
 )
 
 type (
@@ -127,6 +130,7 @@
 	no.seat = leadership.New(leadership.Options{
 		Store: wo.Store, Clock: ck, Boot: clock.Boot, Key: keyUpgrades, Holder: st.Name,
 		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, Changed: no.seated,
+		Turn: no.turn, Taken: func() bool { return no.state.taken.Load() },
 	})
 	no.upgrades = upgrade.New(upgrade.Options{
 		Clock: ck, Fleet: no.fleet, Engines: wo.Engines, Holder: st.Name, Fence: no.seat.Fence,
@@ -282,22 +286,30 @@
 
 // gather returns the pause between two watches of the metadata store.
 func (no *Node) gather() time.Duration {
-	return min(time.Duration(no.hosts.Load())*gatherEach, gatherMost)
+	most := time.Duration(float64(no.settings().Bounds.ApplyMs) * gatherShare * float64(time.Millisecond))
+	return min(time.Duration(no.hosts.Load())*gatherEach, most)
 }
 
-// recordDelay is longer for hosts further behind in an order that is the same everywhere.
-func (no *Node) recordDelay() time.Duration {
+// turn returns how long this host waits before it seeks a vacant seat.
+func (no *Node) turn() time.Duration { return time.Duration(no.rank()) * turnEach }
+
+// rank returns how many hosts come before this one in an order that is the same everywhere: strong
+// hosts first.
+func (no *Node) rank() int {
 	no.state.mu.Lock()
 	defer no.state.mu.Unlock()
 	rank := 0
-	for name := range no.state.hosts {
-		if name < no.st.Name {
+	for name, pe := range no.state.hosts {
+		if pe.Weight > no.st.Weight || (pe.Weight == no.st.Weight && name < no.st.Name) {
 			rank++
 		}
 	}
-	return time.Duration(rank) * recordEvery
+	return rank
 }
 
+// recordDelay returns after which time this host records weights that nobody has recorded yet.
+func (no *Node) recordDelay() time.Duration { return time.Duration(no.rank()) * recordEvery }
+
 func (no *Node) seated(held bool, fence uint64) {
 	no.log.WithFields(logrus.Fields{"held": held, "fence": fence}).Info("Duty of weights changed hands.")
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -39,6 +39,8 @@
 	Bounds struct {
 		// StopMs is how long a planned stop may take; the default is 8,000.
 		StopMs int `json:"stop-ms" min:"0" max:"3600000"`
+		// ApplyMs is within which time changes of the operator must be in force; the default is 2,000.
+		ApplyMs int `json:"apply-ms" min:"0" max:"3600000"`
 		// LeaseMs is how long after one holder's last order another may give orders; the default
 		// is 3,000.
 		LeaseMs int `json:"lease-ms" min:"0" max:"600000"`
@@ -55,6 +57,7 @@
 
 const (
 	defaultStopMs        = 8000
+	defaultApplyMs       = 2000
 	defaultLeaseMs       = 3000
 	defaultWeightsMs     = 15000
 	defaultRepeatWindowS = 10
@@ -64,7 +67,7 @@
 // *settings.FileError if the file cannot be read. Names that are not known are ignored and returned.
 func LoadSettings(path string) (st Settings, unknown []string, err error) {
 	st = Settings{Bounds: Bounds{
-		StopMs: defaultStopMs, LeaseMs: defaultLeaseMs, WeightsMs: defaultWeightsMs, RepeatWindowS: defaultRepeatWindowS,
+		StopMs: defaultStopMs, ApplyMs: defaultApplyMs, LeaseMs: defaultLeaseMs, WeightsMs: defaultWeightsMs, RepeatWindowS: defaultRepeatWindowS,
 	}}
 	unknown, err = settings.LoadKnown(path, &st)
 	return st, unknown, err
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -67,6 +67,7 @@
 		hosts   map[string]peering.Peer
 		weights *naming
 		away    bool
+		taken   atomic.Bool
 		seen    atomic.Uint64
 	}
 )
@@ -117,6 +118,7 @@
 	sa.fleet.EvacuateOnly(zones)
 	sa.setHosts(hosts)
 	sa.seen.Store(sn.Revision)
+	sa.taken.Store(seat)
 	if !seat {
 		sa.vacant()
 	}
@@ -154,6 +156,9 @@
 		return
 	}
 	sa.recorded(it)
+	if it.Key == keyUpgrades {
+		sa.taken.Store(!ev.Removed)
+	}
 	if ev.Removed {
 		if it.Key == keyUpgrades {
 			sa.vacant()
--- a/internal/node/world_test.go
+++ b/internal/node/world_test.go
@@ -130,7 +130,7 @@
 		Name: name, Zone: "here", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		Store: wo.store.Address(),
 		Bounds: node.Bounds{
-			StopMs: 6000, LeaseMs: 1200, WeightsMs: 15000, RepeatRatio: 0.2, RepeatWindowS: 10, RepeatSlack: 50,
+			StopMs: 6000, ApplyMs: 2000, LeaseMs: 1200, WeightsMs: 15000, RepeatRatio: 0.2, RepeatWindowS: 10, RepeatSlack: 50,
 		},
 	}, node.World{
 		Store: platform.NewStore(wo.store.Address(), nil), Decoder: platform.Decoder{}, Codec: platform.Codec{},
