fleet, placement, peering: share which endpoints are unreachable, count slots as they fill

Cause: each of 75 hosts had to find each of 35 dark engines by itself, 300 ms at a time, again and again; estimates took an engine with 11 of 12 slots taken as free. Change: digests say which endpoints a host cannot reach, and two such hosts convince the others for a moment; a silent connection forgets the idle ones beside it; waiting for a slot grows smoothly; digests of many hosts go out each 120 ms.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -134,6 +134,9 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.cause }
 
+// IsSilent reports that the endpoint has acknowledged nothing for so long that it is taken as gone.
+func (e *BrokenError) IsSilent() bool { return errors.Is(e.cause, syscall.ETIMEDOUT) }
+
 // NewPool returns a pool without connections.
 func NewPool(opts Options) *Pool {
 	if opts.DialLimit == 0 {
@@ -245,6 +248,22 @@
 	return an.rsp.ContentLength >= 0 || len(an.rsp.TransferEncoding) > 0
 }
 
+// Forget closes the idle connections to a target that has fallen silent; each of them would cost the
+// request that is sent on it.
+func (po *Pool) Forget(target Target) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	pl := po.places[target]
+	if pl == nil {
+		return
+	}
+	for _, cn := range pl.idle {
+		_ = cn.Close()
+		pl.open--
+	}
+	pl.idle = nil
+}
+
 // Drop closes idle connections to endpoints that keep does not want.
 func (po *Pool) Drop(keep func(Target) bool) {
 	po.mu.Lock()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,10 @@
 	// avoidFirst and avoidMost bound how long an endpoint that failed gets no requests.
 	avoidFirst = 250 * time.Millisecond
 	avoidMost  = 2 * time.Second
+	// peerDownLeast is how many hosts must fail to reach an endpoint before others believe them, and
+	// peerDownFor for how long they do. One host alone may have lost its own link.
+	peerDownLeast = 2
+	peerDownFor   = 600 * time.Millisecond
 	// failureWeight is the weight of the newest answer in the share of failures.
 	failureWeight = 0.1
 	// residentShare is the part of an engine's memory that is expected to hold parts of earlier
@@ -273,6 +277,33 @@
 	return out
 }
 
+// Down returns the endpoints that this host cannot reach now.
+func (fl *Fleet) Down() map[string]int {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	now := fl.opts.Clock.Now()
+	out := make(map[string]int)
+	for id, ep := range fl.endpoints {
+		if ep.backoff > 0 && now.Before(ep.avoid) {
+			out[id] = 1
+		}
+	}
+	return out
+}
+
+// PeerDown takes the endpoints that others cannot reach, with the number of those hosts. If they are
+// at least two, this host leaves the endpoint alone as well for a moment.
+func (fl *Fleet) PeerDown(down map[string]int) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	until := fl.opts.Clock.Now().Add(peerDownFor)
+	for id, count := range down {
+		if ep := fl.endpoints[id]; ep != nil && count >= peerDownLeast {
+			ep.avoid = later(ep.avoid, until)
+		}
+	}
+}
+
 // Taught returns the versions of weights that were learned from answers and reports within the last
 // age, by the identifier of the engine.
 func (fl *Fleet) Taught(age time.Duration) map[string]map[string]uint64 {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -135,6 +135,8 @@
 		outcome := fleet.Unreachable
 		if unsent.IsFull() || ctx.Err() != nil {
 			outcome = fleet.Neutral
+		} else {
+			gw.opts.Pool.Forget(target)
 		}
 		ti.End(outcome, coldIn)
 		fw.note(pl, "not-sent", err)
@@ -146,7 +148,13 @@
 	case err != nil:
 		fw.sent++
 		fw.mayHaveRun = true
-		ti.End(fw.health(ctx, client, fleet.Failed), coldIn)
+		outcome := fw.health(ctx, client, fleet.Failed)
+		var broken *attempt.BrokenError
+		if errors.As(err, &broken) && broken.IsSilent() {
+			outcome = fleet.Unreachable
+			gw.opts.Pool.Forget(target)
+		}
+		ti.End(outcome, coldIn)
 		fw.note(pl, "broken", err)
 		if fw.repeats() {
 			return again, err
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -29,7 +29,7 @@
 // Compose returns what this host knows itself.
 func (so *source) Compose() peering.Digest {
 	no := (*Node)(so)
-	dg := peering.Digest{Host: no.st.Name, Seen: no.state.seen.Load()}
+	dg := peering.Digest{Host: no.st.Name, Seen: no.state.seen.Load(), Down: no.fleet.Down()}
 	for id, ld := range no.fleet.OwnLoads() {
 		dg.Loads = append(dg.Loads, peering.Load{Endpoint: id, Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
 	}
@@ -72,6 +72,7 @@
 		from = "total"
 	}
 	no.fleet.PeerLoads(from, loads)
+	no.fleet.PeerDown(dg.Down)
 	no.mu.Lock()
 	if dg.Tier == peering.Direct {
 		no.seen[dg.Host] = dg.Seen
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -20,7 +20,7 @@
 	// older digests would say little.
 	every = 100 * time.Millisecond
 	// everyTier is the pause where leads sum up, which many hosts receive.
-	everyTier = 200 * time.Millisecond
+	everyTier = 120 * time.Millisecond
 	// digestBytes bounds a datagram.
 	digestBytes = 60 << 10
 )
@@ -72,9 +72,11 @@
 		Host   string `json:"h"`
 		Number uint64 `json:"n"`
 		// Seen is the revision of the metadata store up to which the host knows all changes.
-		Seen    uint64    `json:"s,omitempty"`
-		Loads   []Load    `json:"l,omitempty"`
-		Weights []Weights `json:"w,omitempty"`
+		Seen uint64 `json:"s,omitempty"`
+		// Down counts the hosts that cannot reach an endpoint now, by its identifier.
+		Down    map[string]int `json:"d,omitempty"`
+		Loads   []Load         `json:"l,omitempty"`
+		Weights []Weights      `json:"w,omitempty"`
 	}
 
 	// Peer is another host.
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -48,6 +48,7 @@
 	loads := make(map[string]Load)
 	weights := make(map[Weights]bool)
 	out.Hosts = make(map[string]uint64)
+	out.Down = make(map[string]int)
 	for _, dg := range list {
 		for _, ld := range dg.Loads {
 			sum := loads[ld.Endpoint]
@@ -60,6 +61,9 @@
 		for _, we := range dg.Weights {
 			weights[we] = true
 		}
+		for id, count := range dg.Down {
+			out.Down[id] += count
+		}
 		for name, seen := range dg.Hosts {
 			out.Hosts[name] = max(out.Hosts[name], seen)
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -35,9 +36,11 @@
 	// overflow is how long a request waits for an engine's memory when as much as the whole memory
 	// is asked for beyond what is there, in milliseconds.
 	overflow = 1200.0
-	// slotWait is about how long a request holds a slot of an engine, in milliseconds; a request that
-	// finds all slots taken waits for its part of that.
-	slotWait = 400.0
+	// slotWait is how long a request waits at an engine of which the last slot is taken, in
+	// milliseconds; slotPower and slotExcess say how that falls below and grows beyond.
+	slotWait   = 120.0
+	slotPower  = 6
+	slotExcess = 5
 	// memoryPrice weighs the time for which a request takes memory from others, at a full engine.
 	memoryPrice = 2.0
 	// memoryFull is the share of an engine's memory from which requests wait.
@@ -150,6 +153,12 @@
 	return min(max(after, returnLeast), time.Duration(float64(left)*returnShare))
 }
 
+// queued returns the part of a slot's time that a request waits at an engine whose slots are taken to
+// a share. Loads are known late, so that an engine that is nearly full may be full already.
+func queued(share float64) float64 {
+	return math.Pow(min(share, 1), slotPower) + slotExcess*max(0, share-1)
+}
+
 // cost returns what a candidate costs and the part of it that the client waits, in milliseconds.
 func (job Job) cost(ca *Candidate, version uint64) (cost, wait float64) {
 	load := ca.Sum()
@@ -163,8 +172,8 @@
 		wait = firstToken + unread/readRate + float64(ca.Fetch)/float64(time.Millisecond)
 		used := float64(load.Tokens+job.Tokens) / capacity
 		wait += overflow * max(0, used-memoryFull)
-		if over := load.Requests + 1 - ca.Slots; ca.Slots > 0 && over > 0 {
-			wait += slotWait * float64(over) / float64(ca.Slots)
+		if ca.Slots > 0 {
+			wait += slotWait * queued(float64(load.Requests+1)/float64(ca.Slots))
 		}
 		// While prompts are read, each token of the others takes a whole piece of reading.
 		step := stepBase + stepEach*float64(load.Requests) + stepRead*min(1, unread/unreadBusy)
