--- /dev/null
+++ b/internal/attempt/attempt_test.go
@@ -0,0 +1,179 @@
+package attempt_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/attempt"
+)
+
+// serve starts an endpoint that handles each connection with handle.
+func serve(t *testing.T, handle func(net.Conn, *bufio.Reader)) (attempt.Target, *atomic.Int64) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	var opened atomic.Int64
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			opened.Add(1)
+			go func() {
+				defer func() { _ = nc.Close() }()
+				handle(nc, bufio.NewReader(nc))
+			}()
+		}
+	}()
+	return attempt.Target{ID: "endpoint", Address: ln.Addr().String()}, &opened
+}
+
+// readHead reads a request up to the end of its header.
+func readHead(br *bufio.Reader) bool {
+	for {
+		line, err := br.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if line == "\r\n" {
+			return true
+		}
+	}
+}
+
+func send(t *testing.T, po *attempt.Pool, target attempt.Target, body string) (*attempt.Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	t.Cleanup(cancel)
+	return po.Send(ctx, target, 4, "POST", []byte("POST / HTTP/1.1\r\nHost: x\r\n\r\n"), []byte(body))
+}
+
+func always(answer string) func(net.Conn, *bufio.Reader) {
+	return func(nc net.Conn, br *bufio.Reader) {
+		for readHead(br) {
+			if _, err := io.WriteString(nc, answer); err != nil {
+				return
+			}
+		}
+	}
+}
+
+func TestConnectionIsKeptOnlyAfterACleanAnswer(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for name, tc := range map[string]struct {
+		answer string
+		opened int64
+	}{
+		"clean":          {whole, 1},
+		"closing":        {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", 3},
+		"excess":         {whole + "more", 3},
+		"short time":     {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok", 3},
+		"interim before": {"HTTP/1.1 100 Continue\r\n\r\n" + whole, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			target, opened := serve(t, always(tc.answer))
+			po := attempt.NewPool(attempt.Options{})
+			for range 3 {
+				an, err := send(t, po, target, "")
+				require.NoError(t, err)
+				data, err := io.ReadAll(an)
+				require.NoError(t, err)
+				require.Equal(t, "ok", string(data))
+				an.Close()
+				an.Close()
+			}
+			require.Equal(t, tc.opened, opened.Load())
+		})
+	}
+}
+
+func TestFailuresSayWhetherTheRequestMayHaveRun(t *testing.T) {
+	po := attempt.NewPool(attempt.Options{})
+	var unsent *attempt.NotSentError
+	var broken *attempt.BrokenError
+
+	_, err := send(t, po, attempt.Target{ID: "nobody", Address: "127.0.0.1:1"}, "")
+	require.ErrorAs(t, err, &unsent)
+	require.False(t, unsent.IsFull())
+
+	silent, _ := serve(t, func(_ net.Conn, br *bufio.Reader) { readHead(br) })
+	_, err = send(t, po, silent, "")
+	require.ErrorAs(t, err, &broken, "the endpoint has read the request and closed")
+
+	cut, _ := serve(t, always("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf"))
+	an, err := send(t, po, cut, "")
+	require.NoError(t, err)
+	go func() { time.AfterFunc(50*time.Millisecond, an.Close) }()
+	_, err = io.ReadAll(an)
+	require.Error(t, err, "a body that ends early is not whole")
+
+	garbage, _ := serve(t, always("no answer\r\n\r\n"))
+	_, err = send(t, po, garbage, "")
+	require.ErrorAs(t, err, &broken)
+}
+
+func TestFullEndpointGetsNoFurtherConnection(t *testing.T) {
+	target, opened := serve(t, always("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	po := attempt.NewPool(attempt.Options{})
+	var open []*attempt.Answer
+	for range 4 {
+		an, err := send(t, po, target, "")
+		require.NoError(t, err)
+		open = append(open, an)
+	}
+	_, err := send(t, po, target, "")
+	var unsent *attempt.NotSentError
+	require.ErrorAs(t, err, &unsent)
+	require.True(t, unsent.IsFull())
+	require.Equal(t, int64(4), opened.Load())
+	for _, an := range open {
+		an.Close()
+	}
+}
+
+func TestAnswerBeforeTheBodyIsReadEndsTheConnection(t *testing.T) {
+	release := make(chan struct{})
+	target, opened := serve(t, func(nc net.Conn, br *bufio.Reader) {
+		if !readHead(br) {
+			return
+		}
+		_, _ = io.WriteString(nc, "HTTP/1.1 400 Bad Request\r\nContent-Length: 2\r\n\r\nno")
+		<-release
+	})
+	defer close(release)
+	po := attempt.NewPool(attempt.Options{})
+	body := strings.Repeat("x", 16<<20)
+	for want := int64(1); want <= 2; want++ {
+		an, err := send(t, po, target, body)
+		require.NoError(t, err)
+		require.Equal(t, 400, an.Status)
+		_, err = io.ReadAll(an)
+		require.NoError(t, err)
+		an.Close()
+		require.Equal(t, want, opened.Load(), "the rest of a body must not be taken for a request")
+	}
+}
+
+func TestConnectionsOfAnotherStartAreNotUsed(t *testing.T) {
+	target, opened := serve(t, always("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	po := attempt.NewPool(attempt.Options{})
+	for born := range int64(3) {
+		target.Born = born
+		an, err := send(t, po, target, "")
+		require.NoError(t, err)
+		_, err = io.ReadAll(an)
+		require.NoError(t, err)
+		an.Close()
+	}
+	require.Equal(t, int64(3), opened.Load())
+	po.Forget(target)
+	po.Drop(func(attempt.Target) bool { return false })
+}
--- /dev/null
+++ b/internal/cachedir/cachedir_test.go
@@ -0,0 +1,201 @@
+package cachedir_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/cachedir"
+	"github.com/bergamotway/bergamotway/internal/catalog"
+)
+
+const (
+	quick = "10.0.0.1:1"
+	large = "10.0.0.2:1"
+	other = "10.0.0.3:1"
+)
+
+func directory(ck *clockwork.FakeClock) *cachedir.Directory {
+	di := cachedir.New(ck)
+	di.Configure([]catalog.CacheStore{
+		{Name: "quick", Address: quick, Zone: "a", CapacityTokens: 10000, LinkMbps: 200000, Setup: time.Millisecond, Managed: true},
+		{Name: "large", Address: large, Zone: "b", CapacityTokens: 100000, LinkMbps: 58000, Setup: 6 * time.Millisecond, Managed: true},
+		{Name: "other", Address: other, Zone: "c", CapacityTokens: 100000, LinkMbps: 58000, Setup: 6 * time.Millisecond, Managed: true},
+	})
+	for _, address := range []string{quick, large, other} {
+		di.Apply(address, cachedir.Events{Epoch: 1, Next: 1, Clock: 1000})
+	}
+	return di
+}
+
+func part(id string) cachedir.Part { return cachedir.Part{Salt: cachedir.Salt("m", 1, ""), ID: id} }
+
+func add(di *cachedir.Directory, address string, pt cachedir.Part) {
+	di.Apply(address, cachedir.Events{Epoch: 1, Next: 2, Clock: 1000, Changes: []cachedir.Change{{Part: pt, Added: true, Tokens: 500}}})
+}
+
+func TestOnlyWholePartsAreFound(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	di := directory(ck)
+	require.NotEmpty(t, di.Claim(part("p"), 500, false))
+	require.Empty(t, di.Find(part("p")), "a part that is being saved is not whole")
+	require.Empty(t, di.Claim(part("p"), 500, false), "and is not saved twice")
+	add(di, quick, part("p"))
+	require.Len(t, di.Find(part("p")), 1)
+	require.Empty(t, di.Find(cachedir.Part{Salt: cachedir.Salt("m", 2, ""), ID: "p"}), "nor under other weights")
+	require.Empty(t, di.Find(cachedir.Part{Salt: cachedir.Salt("m", 1, "team"), ID: "p"}), "nor of an exclusive team")
+}
+
+func TestStoreThatStartedAnewHoldsNothing(t *testing.T) {
+	di := directory(clockwork.NewFakeClock())
+	add(di, quick, part("p"))
+	require.False(t, di.Apply(quick, cachedir.Events{Epoch: 2, Next: 1, Clock: 2000}))
+	require.Empty(t, di.Find(part("p")))
+	add(di, large, part("q"))
+	di.Lost(large)
+	require.Empty(t, di.Find(part("q")), "a store that does not answer may have started anew")
+}
+
+func TestSilentStoreIsNotFetchedFrom(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	di := directory(ck)
+	add(di, quick, part("p"))
+	ck.Advance(2 * time.Second)
+	require.Empty(t, di.Find(part("p")))
+}
+
+func TestPartsGoToStoresForTheirLength(t *testing.T) {
+	di := directory(clockwork.NewFakeClock())
+	require.Equal(t, quick, di.Claim(part("short"), 400, false))
+	long := di.Claim(part("long"), 5000, false)
+	require.Contains(t, []string{large, other}, long)
+	for i := range 30 {
+		di.Claim(part(fmt.Sprint("fill", i)), 400, false)
+	}
+	require.Contains(t, []string{large, other}, di.Claim(part("more"), 400, false), "a full store gets nothing more")
+}
+
+func TestHomeIsWhereThePartIsOrWillBe(t *testing.T) {
+	di := directory(clockwork.NewFakeClock())
+	zones := map[string]string{quick: "a", large: "b", other: "c"}
+	for i := range 10 {
+		pt := part(fmt.Sprint("p", i))
+		home := di.Home(pt, 5000)
+		require.Equal(t, home, zones[di.Claim(pt, 5000, false)])
+	}
+	add(di, quick, part("kept"))
+	require.Equal(t, "a", di.Home(part("kept"), 5000))
+}
+
+func TestSlowStoreIsCopiedFromAndForgiven(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	di := directory(ck)
+	add(di, large, part("p"))
+	for range 20 {
+		di.Observe(large, 10*time.Millisecond, 200*time.Millisecond)
+	}
+	require.Greater(t, di.Find(part("p"))[0].Slow, cachedir.SlowStore)
+	require.NotEqual(t, large, di.Claim(part("p"), 5000, false), "a copy goes elsewhere")
+	ck.Advance(time.Minute)
+	di.Apply(large, cachedir.Events{Epoch: 1, Next: 3, Clock: 2000})
+	require.InDelta(t, 1, di.Find(part("p"))[0].Slow, 0.01, "without transfers the store is tried again")
+}
+
+// Parts are freed only above the gate, nothing above the gate is found, and gates that go down never
+// let a part be found again.
+func TestWhatIsFreedIsNotFound(t *testing.T) {
+	di := directory(clockwork.NewFakeClock())
+	for i := range 200 {
+		add(di, large, part(fmt.Sprint("p", i)))
+	}
+	salt := cachedir.Salt("m", 1, "")
+	freed := make(map[string]bool)
+	for _, gate := range []uint32{cachedir.GateOpen, 50000, 20000, 0} {
+		ga := cachedir.Gates{salt: gate}
+		di.SetGates(ga)
+		for _, vi := range di.Victims(ga, 1000) {
+			require.Equal(t, large, vi.Address)
+			require.Equal(t, uint64(1), vi.Epoch)
+			for _, pt := range vi.Parts {
+				freed[pt.ID] = true
+				require.Empty(t, di.Find(pt))
+			}
+		}
+		found := 0
+		for i := range 200 {
+			id := fmt.Sprint("p", i)
+			if len(di.Find(part(id))) > 0 {
+				found++
+				require.False(t, freed[id])
+			}
+		}
+		require.Equal(t, 200, found+len(freed))
+	}
+	require.Len(t, freed, 200)
+}
+
+func TestHostThatIsNotKnownFetchesNothing(t *testing.T) {
+	di := directory(clockwork.NewFakeClock())
+	add(di, large, part("p"))
+	known := false
+	di.SetPermit(func() bool { return known })
+	require.Empty(t, di.Find(part("p")))
+	known = true
+	require.Len(t, di.Find(part("p")), 1)
+}
+
+func TestHotPartsGetACopyInEachQuickStore(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	di := cachedir.New(ck)
+	var infos []catalog.CacheStore
+	for i := range 4 {
+		infos = append(infos, catalog.CacheStore{Address: fmt.Sprintf("10.0.0.%d:1", i), CapacityTokens: 10000, Setup: time.Millisecond})
+	}
+	infos = append(infos, catalog.CacheStore{Address: "10.0.1.1:1", CapacityTokens: 100000, Setup: time.Second})
+	di.Configure(infos)
+	for _, info := range infos {
+		di.Apply(info.Address, cachedir.Events{Epoch: 1, Next: 1, Clock: 1})
+	}
+	got := make(map[string]bool)
+	for range 4 {
+		address := di.Claim(part("head"), 2500, true)
+		require.NotEmpty(t, address)
+		require.Empty(t, di.Claim(part("head"), 2500, true), "one copy at a time")
+		got[address] = true
+		add(di, address, part("head"))
+	}
+	require.Len(t, got, 4)
+	require.Empty(t, di.Claim(part("head"), 2500, true))
+}
+
+func TestKnowledgeIsPassedOn(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	lead, member := directory(ck), cachedir.New(ck)
+	member.Configure([]catalog.CacheStore{{Address: large, CapacityTokens: 1000}})
+	lead.Tell(true)
+	add(lead, large, part("p"))
+	news, states := lead.News(100)
+	for _, st := range states {
+		if st.Address == large {
+			require.True(t, member.Hear(st), "a store that was not known wants a listing")
+		}
+	}
+	for _, ne := range news {
+		member.Learn(ne.Address, ne.Change)
+	}
+	require.Len(t, member.Find(part("p")), 1)
+	member.Hear(cachedir.State{Address: large, Epoch: 2, Clock: 1})
+	require.Empty(t, member.Find(part("p")))
+}
+
+func TestSaltNamesModelVersionAndTeam(t *testing.T) {
+	model, version, ok := cachedir.ParseSalt(cachedir.Salt("crew", 7, "team.with.dots"))
+	require.True(t, ok)
+	require.Equal(t, "crew", model)
+	require.Equal(t, uint64(7), version)
+	_, _, ok = cachedir.ParseSalt("foreign")
+	require.False(t, ok)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -231,7 +231,7 @@
 	now := fl.opts.Clock.Now()
 	var good, rest []*endpoint
 	for id, ep := range fl.endpoints {
-		if !ep.heldUntil.IsZero() && now.After(ep.heldUntil) {
+		if fl.isGone(ep, now) {
 			delete(fl.endpoints, id)
 			continue
 		}
@@ -330,7 +330,7 @@
 	now := fl.opts.Clock.Now()
 	out := make([]View, 0, len(fl.endpoints))
 	for id, ep := range fl.endpoints {
-		if !ep.heldUntil.IsZero() && now.After(ep.heldUntil) {
+		if fl.isGone(ep, now) {
 			delete(fl.endpoints, id)
 			continue
 		}
@@ -518,6 +518,12 @@
 	ep.heldUntil = from.Add(heldFor)
 }
 
+// isGone reports whether an entry that vanished has been missed for long enough since the store's
+// return.
+func (fl *Fleet) isGone(ep *endpoint, now time.Time) bool {
+	return !ep.heldUntil.IsZero() && fl.awaySince.IsZero() && now.After(ep.heldUntil)
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,161 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/fleet"
+)
+
+func entry(id string) fleet.Entry {
+	return fleet.Entry{ID: id, Service: "engines", Address: "127.0.0.1:1", Zone: "here", Slots: 8, Born: 1, Models: map[string]uint64{"m": 1}}
+}
+
+func ids(views []fleet.View) []string {
+	out := make([]string, 0, len(views))
+	for _, vw := range views {
+		out = append(out, vw.ID)
+	}
+	return out
+}
+
+// All hosts together stay within the bound on a cold endpoint in each second, also while some of
+// them know of fewer hosts than there are.
+func TestColdEndpointIsSparedByAllHostsTogether(t *testing.T) {
+	const rate, over, slack = 17.0, 1.5, 5.0
+	for _, count := range []int{1, 6, 7, 30, 75, 320} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			ck := clockwork.NewFakeClock()
+			names := make([]string, count)
+			for i := range names {
+				names[i] = fmt.Sprint("host-", i)
+			}
+			fleets := make([]*fleet.Fleet, count)
+			for i := range fleets {
+				fleets[i] = fleet.New(fleet.Options{Clock: ck, Host: names[i]})
+				known := names
+				if i%10 == 9 {
+					// This host has not heard of one of the others.
+					known = append(append([]string(nil), names[:i-1]...), names[i:]...)
+				}
+				fleets[i].SetHosts(known)
+				en := entry("cold")
+				en.ColdFor = time.Minute
+				fleets[i].Put(en)
+			}
+			var sent []time.Duration
+			start := ck.Now()
+			for range 300 {
+				for _, fl := range fleets {
+					if ti := fl.Begin("cold", fleet.Load{Requests: 1}, rate); ti != nil {
+						ti.End(fleet.Good, 0)
+						sent = append(sent, ck.Now().Sub(start))
+					}
+				}
+				ck.Advance(10 * time.Millisecond)
+			}
+			worst := 0
+			for i := range sent {
+				n := 0
+				for k := i; k < len(sent) && sent[k]-sent[i] < time.Second; k++ {
+					n++
+				}
+				worst = max(worst, n)
+			}
+			require.LessOrEqual(t, float64(worst), rate*over+slack)
+			require.Greater(t, worst, 8, "a cold endpoint still warms up")
+		})
+	}
+}
+
+func TestLapsedEntryIsHeldWhileTheStoreIsAway(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	fl.Put(entry("a"))
+	fl.StoreLost()
+	fl.Remove("a")
+	ck.Advance(time.Minute)
+	require.Equal(t, []string{"a"}, ids(fl.Views("engines")), "the store is still away")
+	fl.StoreReached()
+	ck.Advance(2 * time.Second)
+	require.Equal(t, []string{"a"}, ids(fl.Views("engines")))
+	ck.Advance(time.Second)
+	require.Empty(t, fl.Views("engines"))
+	fl.Put(entry("b"))
+	fl.Remove("b")
+	require.Empty(t, fl.Views("engines"), "a removal while the store is sound counts at once")
+}
+
+func TestLeavingIsFinal(t *testing.T) {
+	fl := fleet.New(fleet.Options{Host: "host"})
+	en := entry("a")
+	en.Draining = true
+	fl.Put(en)
+	fl.Put(entry("a"))
+	require.Empty(t, fl.Views("engines"), "an older entry that arrives late must not undo leaving")
+	require.Nil(t, fl.Begin("a", fleet.Load{Requests: 1}, 0))
+	again := entry("a")
+	again.Born = 2
+	fl.Put(again)
+	require.Len(t, fl.Views("engines"), 1, "a new start under the same identifier is another endpoint")
+}
+
+func TestLeavingEndpointIsNotHeld(t *testing.T) {
+	fl := fleet.New(fleet.Options{Host: "host"})
+	en := entry("a")
+	en.Draining = true
+	fl.Put(en)
+	fl.StoreLost()
+	fl.Remove("a")
+	require.Empty(t, fl.All())
+}
+
+func TestOneHostAloneIsNotBelievedThatAnEndpointIsDown(t *testing.T) {
+	fl := fleet.New(fleet.Options{Host: "host"})
+	fl.Put(entry("a"))
+	fl.PeerDown(map[string]int{"a": 1})
+	require.False(t, fl.All()[0].Avoid)
+	fl.PeerDown(map[string]int{"a": 2})
+	require.True(t, fl.All()[0].Avoid)
+}
+
+func TestSampleStaysNearWithOneAway(t *testing.T) {
+	fl := fleet.New(fleet.Options{Host: "host"})
+	for i := range 60 {
+		en := entry(fmt.Sprint("engine-", i))
+		en.Zone = fmt.Sprint("zone-", i%3)
+		fl.Put(en)
+	}
+	zones := make(map[string]int)
+	chosen := make(map[string]bool)
+	for i := range 200 {
+		sample := fl.Sample("engines", "zone-1", fmt.Sprint("request-", i), 4)
+		require.Len(t, sample, 4)
+		for _, vw := range sample {
+			zones[vw.Zone]++
+			chosen[vw.ID] = true
+		}
+	}
+	require.Equal(t, 600, zones["zone-1"])
+	require.Greater(t, len(chosen), 21, "requests do not all weigh the same engines")
+}
+
+func TestLoadsAreCountedOnce(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	fl.Put(entry("a"))
+	ti := fl.Begin("a", fleet.Load{Requests: 1, Tokens: 10, Unread: 5}, 0)
+	fl.PeerLoads("peer", map[string]fleet.Load{"a": {Requests: 2, Tokens: 20}})
+	require.Equal(t, fleet.Load{Requests: 3, Tokens: 30, Unread: 5}, fl.All()[0].Sum())
+	ti.Read()
+	ti.Read()
+	ti.End(fleet.Good, 0)
+	ti.End(fleet.Good, 0)
+	require.Equal(t, fleet.Load{Requests: 2, Tokens: 20}, fl.All()[0].Sum())
+	ck.Advance(2 * time.Second)
+	require.Zero(t, fl.All()[0].Sum(), "a peer that fell silent counts no more")
+}
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,161 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/placement"
+)
+
+func engine(id string, version uint64, load fleet.Load) placement.Candidate {
+	return placement.Candidate{
+		View:     fleet.View{Entry: fleet.Entry{ID: id, Slots: 128, Zone: "here", Models: map[string]uint64{"m": version}}, Own: load},
+		Capacity: 65000,
+	}
+}
+
+func job() placement.Job {
+	return placement.Job{ID: "request", Zone: "here", Tokens: 9000, Output: 60, Model: "m", Version: 2}
+}
+
+func TestExpiredWeightsAreNeverChosen(t *testing.T) {
+	old := engine("old", 1, fleet.Load{})
+	old.Expired = true
+	busy := engine("busy", 2, fleet.Load{Requests: 100, Tokens: 200000})
+	ch, ok := placement.Choose(job(), []placement.Candidate{old, busy})
+	require.True(t, ok)
+	require.Equal(t, 1, ch.Index)
+	_, ok = placement.Choose(job(), []placement.Candidate{old})
+	require.False(t, ok)
+}
+
+func TestStreamGoesOnOnTheSameWeightsOnly(t *testing.T) {
+	jb := job()
+	jb.Only, jb.Version = true, 1
+	ch, ok := placement.Choose(jb, []placement.Candidate{engine("new", 2, fleet.Load{}), engine("old", 1, fleet.Load{Requests: 50})})
+	require.True(t, ok)
+	require.Equal(t, 1, ch.Index)
+}
+
+func TestKeptPromptOutweighsNewerWeights(t *testing.T) {
+	kept, anew := engine("kept", 1, fleet.Load{}), engine("anew", 2, fleet.Load{})
+	kept.Read, anew.Read = 1500, 9000
+	ch, ok := placement.Choose(job(), []placement.Candidate{kept, anew})
+	require.True(t, ok)
+	require.Equal(t, 0, ch.Index)
+}
+
+func TestEngineThatTakesWeightsIsTheLastChoice(t *testing.T) {
+	loading, failed, busy := engine("loading", 2, fleet.Load{}), engine("failed", 2, fleet.Load{}), engine("busy", 2, fleet.Load{Tokens: 90000})
+	loading.Loading, failed.Avoid = true, true
+	ch, _ := placement.Choose(job(), []placement.Candidate{loading, failed, busy})
+	require.Equal(t, 2, ch.Index)
+	ch, _ = placement.Choose(job(), []placement.Candidate{loading, failed})
+	require.Equal(t, 1, ch.Index)
+	ch, ok := placement.Choose(job(), []placement.Candidate{loading})
+	require.True(t, ok)
+	require.Equal(t, 0, ch.Index)
+}
+
+func TestRefusedClientsReturnApartAndInTime(t *testing.T) {
+	times := make(map[time.Duration]bool)
+	for i := range 200 {
+		after := placement.Return(fmt.Sprint("request-", i), 2*time.Second, 500*time.Millisecond, 4*time.Second)
+		require.LessOrEqual(t, after, 4*time.Second/3, "a third of the time that is left")
+		require.GreaterOrEqual(t, after, 300*time.Millisecond)
+		times[after.Truncate(10*time.Millisecond)] = true
+	}
+	require.Greater(t, len(times), 10)
+}
+
+// fakeEngine serves one prompt at a time and holds the memory of those that wait, so that a queue
+// delays everyone behind it.
+type fakeEngine struct {
+	busyUntil time.Duration
+	ends      []time.Duration
+}
+
+// Load that exceeds the engines for some seconds must not leave them late for good: what cannot be on
+// time is refused, the rest is on time, and service is whole again soon after.
+func TestOverloadIsRefusedAndServiceReturns(t *testing.T) {
+	const (
+		engines = 12
+		read    = 82 * time.Millisecond
+		target  = 500 * time.Millisecond
+		limit   = 4 * time.Second
+	)
+	play := func(refuse bool) (onTime, late, refused [30]int) {
+		rd := rand.New(rand.NewSource(3))
+		fakes := make([]fakeEngine, engines)
+		now := time.Duration(0)
+		for n := 0; now < 30*time.Second; n++ {
+			rate := 90.0
+			if second := now / time.Second; second >= 5 && second < 10 {
+				rate = 260
+			}
+			now += time.Duration(rd.ExpFloat64() / rate * float64(time.Second))
+			cands := make([]placement.Candidate, engines)
+			for i := range fakes {
+				var load fleet.Load
+				for _, end := range fakes[i].ends {
+					if end > now {
+						load.Requests++
+						load.Tokens += 9000
+						load.Unread += 9000
+					}
+				}
+				cands[i] = engine(fmt.Sprint("engine-", i), 2, load)
+				cands[i].Read = 9000
+			}
+			jb := job()
+			jb.ID = fmt.Sprint("request-", n)
+			ch, _ := placement.Choose(jb, cands)
+			second := min(int(now/time.Second), 29)
+			if refuse && placement.Overdue(ch.Estimate, target, limit) {
+				refused[second]++
+				continue
+			}
+			fk := &fakes[ch.Index]
+			fk.busyUntil = max(fk.busyUntil, now) + read
+			fk.ends = append(fk.ends, fk.busyUntil)
+			if len(fk.ends) > 400 {
+				fk.ends = fk.ends[200:]
+			}
+			if fk.busyUntil-now <= target {
+				onTime[second]++
+			} else {
+				late[second]++
+			}
+		}
+		return onTime, late, refused
+	}
+	sum := func(list [30]int, from, to int) (n int) {
+		for _, v := range list[from:to] {
+			n += v
+		}
+		return n
+	}
+	onTime, late, refused := play(true)
+	require.Zero(t, sum(refused, 0, 5), "nothing is refused before the burst")
+	require.Less(t, sum(late, 5, 10)*10, sum(onTime, 5, 10), "what is taken in the burst is on time")
+	require.Greater(t, sum(onTime, 5, 10), 5*engines*8, "the engines are used while others are refused")
+	require.Zero(t, sum(late, 12, 30)+sum(refused, 12, 30), "service is whole 2 s after the burst")
+	_, lateWithout, _ := play(false)
+	require.Greater(t, sum(lateWithout, 10, 14), 100, "without refusing, the burst makes those after it late")
+}
+
+func TestNamedPoliciesAreBaselines(t *testing.T) {
+	cands := []placement.Candidate{engine("a", 2, fleet.Load{Requests: 5}), engine("b", 2, fleet.Load{Requests: 1})}
+	ch, ok := placement.ParsePolicy("least-outstanding").Choose(job(), "session", cands)
+	require.True(t, ok)
+	require.Equal(t, 1, ch.Index)
+	first, _ := placement.ParsePolicy("affinity").Choose(job(), "session", cands[:2])
+	again, _ := placement.ParsePolicy("affinity").Choose(job(), "session", cands[:2])
+	require.Equal(t, first, again)
+	require.Equal(t, placement.Estimate, placement.ParsePolicy(""))
+}
--- /dev/null
+++ b/internal/retry/window_test.go
@@ -0,0 +1,64 @@
+package retry_test
+
+import (
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/retry"
+)
+
+// Hosts with unequal parts of the requests stay within the bound in each window, summed up.
+func TestRepeatsOfAllHostsStayWithinTheBound(t *testing.T) {
+	const (
+		hosts  = 6
+		ratio  = 0.2
+		slack  = 52.0
+		window = 10 * time.Second
+		step   = 100 * time.Millisecond
+	)
+	ck := clockwork.NewFakeClock()
+	rd := rand.New(rand.NewSource(7))
+	all := make([]*retry.Windows, hosts)
+	for i := range all {
+		all[i] = retry.NewWindows(ck, retry.Bound{Ratio: ratio, Slack: slack, Window: window})
+		all[i].SetHosts(hosts)
+	}
+	steps := int(window / step)
+	var requests, repeats []int
+	for range 6 * steps {
+		rq, rp := 0, 0
+		for i, wi := range all {
+			for range rd.Intn(2 * (i + 1)) {
+				wi.Request("desk")
+				rq++
+				if wi.Take("desk") {
+					rp++
+				}
+			}
+		}
+		requests, repeats = append(requests, rq), append(repeats, rp)
+		ck.Advance(step)
+	}
+	total := 0
+	for from := range len(requests) - steps {
+		rq, rp := 0, 0
+		for i := from; i < from+steps; i++ {
+			rq += requests[i]
+			rp += repeats[i]
+		}
+		total = max(total, rp)
+		require.LessOrEqual(t, float64(rp), ratio*float64(rq)+slack)
+	}
+	require.Greater(t, total, 100, "the budget is of use")
+}
+
+func TestServicesHaveBudgetsOfTheirOwn(t *testing.T) {
+	wi := retry.NewWindows(clockwork.NewFakeClock(), retry.Bound{Ratio: 0.2, Slack: 2, Window: time.Second})
+	require.True(t, wi.Take("a"))
+	require.False(t, wi.Take("a"))
+	require.True(t, wi.Take("b"))
+}
