gateway: send rejected requests elsewhere, leave engines that reject alone

Cause: engines that take new weights reject requests; routes with one attempt were then refused although other engines were idle, and the next request went to the same engine. Change: a rejection has not run and does not count as an attempt, up to two; such an engine is left alone for 400 ms.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -459,6 +459,15 @@
 	}
 }
 
+// Shun leaves an endpoint alone for a time, unless nothing else is there.
+func (fl *Fleet) Shun(id string, d time.Duration) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if ep := fl.endpoints[id]; ep != nil {
+		ep.avoid = later(ep.avoid, fl.opts.Clock.Now().Add(d))
+	}
+}
+
 // Leave records that an endpoint said itself that it is leaving, or that another has its address.
 func (fl *Fleet) Leave(id string) {
 	fl.mu.Lock()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -22,9 +22,11 @@
 	// unsentMost is how many endpoints in a row may accept no connection before the request is
 	// refused; such attempts cost nothing at the endpoints.
 	unsentMost = 4
-	// rejectedMost bounds attempts that endpoints rejected without running them, beyond the
-	// attempts that the route allows.
+	// rejectedMost bounds attempts that endpoints rejected without running them.
 	rejectedMost = 2
+	// shunFor is how long an endpoint that rejected a request gets no others: it is full, or takes
+	// new weights, which lasts some seconds and is known soon.
+	shunFor = 400 * time.Millisecond
 )
 
 type (
@@ -169,7 +171,11 @@
 		ti.End(fleet.Neutral, coldIn)
 		fw.note(pl, "rejected", errors.Errorf("gateway: status %d", an.Status))
 		drain(an)
-		if fw.rejected <= rejectedMost && (fw.sent+fw.rejected < rq.route.Attempts || me.Misdirected) {
+		if !me.Misdirected {
+			gw.opts.Fleet.Shun(pl.view.ID, shunFor)
+		}
+		// What was rejected has not run, and so does not count as one of the route's attempts.
+		if fw.rejected <= rejectedMost && fw.sent < rq.route.Attempts {
 			return again, nil
 		}
 		return giveUp, errors.Errorf("gateway: %s did not run the request", pl.view.ID)
--- a/internal/node/serve_test.go
+++ b/internal/node/serve_test.go
@@ -219,6 +219,27 @@
 	require.Empty(t, wo.plain[0].Runs())
 }
 
+// Engines that took new weights rejected requests whose route allows one attempt, and these were
+// refused although other engines were idle.
+func TestRejectedRequestIsSentElsewhere(t *testing.T) {
+	t.Parallel()
+	wo := newWorld(t, 3, 0)
+	wo.configure(map[string]any{
+		"name": "once", "hostname": "shop.example", "pathPrefix": "/once/", "kind": "streaming", "service": "engines",
+		"timeoutMs": 3000, "targetLatencyMs": 1000, "maxAttempts": 1,
+	})
+	no := wo.ready("host-1")
+	for range 6 {
+		wo.engines[0].Spoil(site.Shed)
+		wo.engines[1].Spoil(site.Shed)
+		id := wo.id()
+		re := wo.send(no, http.MethodPost, "/once/1", id, "", prompt())
+		require.Equal(t, http.StatusOK, re.status)
+		require.Len(t, wo.ran(id), 1)
+		wo.mend()
+	}
+}
+
 func TestNoEndpointIsRefusedAtOnce(t *testing.T) {
 	t.Parallel()
 	wo := newWorld(t, 0, 0)
