--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -149,8 +149,9 @@
 // enough for the answer to be of use.
 func Return(id string, wait, target, left time.Duration) time.Duration {
 	unit := float64(rendezvous.Hash(id)>>11) / (1 << 53)
-	after := time.Duration(float64(max(returnLeast, wait-target)) * (0.7 + 0.6*unit))
-	return min(max(after, returnLeast), time.Duration(float64(left)*returnShare))
+	late := time.Duration(float64(left) * returnShare)
+	after := time.Duration(float64(max(late/2, wait-target)) * (0.6 + 0.8*unit))
+	return min(max(after, returnLeast), late)
 }
 
 // queued returns the part of a slot's time that a request waits at an engine whose slots are taken to
