--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -70,7 +70,7 @@
 	var last error
 	for {
 		left := rq.until.Sub(gw.opts.Clock.Now())
-		if client.Err() != nil {
+		if hasLeft(client) {
 			fw.end("client-left", 0, client.Err())
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -207,6 +207,7 @@
 	ready := &http.Server{Handler: http.HandlerFunc(no.answerReady), ReadHeaderTimeout: defaultHeaderTime}
 	clients := &http.Server{
 		Handler: no.gateway, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: idleTime, MaxHeaderBytes: defaultHeaderBytes,
+		ConnContext: gateway.WithClient,
 	}
 	servers := []struct {
 		server   *http.Server
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -14,7 +14,7 @@
 
 const (
 	// newsMost bounds the changes of cache stores in one digest.
-	newsMost = 500
+	newsMost = 300
 	// roleEvery is the pause between looks at whether this host follows the cache stores.
 	roleEvery = 250 * time.Millisecond
 	// listSpread is over which time hosts that start list the cache stores.
@@ -52,10 +52,24 @@
 	for _, st := range states {
 		dg.Stores = append(dg.Stores, peering.Store(st))
 	}
+	type group struct{ address, salt string }
+	groups := make(map[group]*peering.Parts)
 	for _, ne := range news {
-		dg.Cache = append(dg.Cache, peering.Part{
-			Address: ne.Address, Salt: ne.Salt, ID: ne.ID, Tokens: ne.Tokens, Gone: !ne.Added,
-		})
+		key := group{ne.Address, ne.Salt}
+		pa := groups[key]
+		if pa == nil {
+			pa = &peering.Parts{Address: ne.Address, Salt: ne.Salt, Added: make(map[string]int)}
+			groups[key] = pa
+		}
+		if ne.Added {
+			pa.Added[ne.ID] = ne.Tokens
+		} else {
+			delete(pa.Added, ne.ID)
+			pa.Gone = append(pa.Gone, ne.ID)
+		}
+	}
+	for _, pa := range groups {
+		dg.Cache = append(dg.Cache, *pa)
 	}
 	return dg
 }
@@ -96,10 +110,13 @@
 			go no.list(st.Address)
 		}
 	}
-	for _, pt := range dg.Cache {
-		no.cache.Learn(pt.Address, cachedir.Change{
-			Part: cachedir.Part{Salt: pt.Salt, ID: pt.ID}, Added: !pt.Gone, Tokens: pt.Tokens,
-		})
+	for _, pa := range dg.Cache {
+		for _, id := range pa.Gone {
+			no.cache.Learn(pa.Address, cachedir.Change{Part: cachedir.Part{Salt: pa.Salt, ID: id}})
+		}
+		for id, tokens := range pa.Added {
+			no.cache.Learn(pa.Address, cachedir.Change{Part: cachedir.Part{Salt: pa.Salt, ID: id}, Added: true, Tokens: tokens})
+		}
 	}
 }
 
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -20,7 +20,9 @@
 	// older digests would say little.
 	every = 100 * time.Millisecond
 	// everyTier is the pause where leads sum up, which many hosts receive.
-	everyTier = 120 * time.Millisecond
+	everyTier = 160 * time.Millisecond
+	// everyWeak is the pause of a lead with a weak link, which may not carry more.
+	everyWeak = time.Second
 	// digestBytes bounds a datagram.
 	digestBytes = 60 << 10
 )
@@ -49,13 +51,13 @@
 		Clock   int64  `json:"c"`
 	}
 
-	// Part is a change of what a cache store holds.
-	Part struct {
+	// Parts are changes of what a cache store holds under one salt.
+	Parts struct {
 		Address string `json:"a"`
 		Salt    string `json:"s"`
-		ID      string `json:"i"`
-		Tokens  int    `json:"t,omitempty"`
-		Gone    bool   `json:"g,omitempty"`
+		// Added has the lengths by part, Gone the parts that are gone.
+		Added map[string]int `json:"t,omitempty"`
+		Gone  []string       `json:"g,omitempty"`
 	}
 
 	// Digest is what one host tells the others.
@@ -67,7 +69,7 @@
 		Hosts map[string]uint64 `json:"o,omitempty"`
 		// Stores and Cache are what a lead knows of cache stores.
 		Stores []Store `json:"k,omitempty"`
-		Cache  []Part  `json:"p,omitempty"`
+		Cache  []Parts `json:"p,omitempty"`
 
 		Host   string `json:"h"`
 		Number uint64 `json:"n"`
@@ -116,6 +118,8 @@
 		zones     map[string]received
 		sent      []Load
 		leadHeard time.Time
+		lead      string
+		rounds    int
 	}
 )
 
@@ -183,6 +187,9 @@
 		ex.mu.Lock()
 		if !ex.isFlat() {
 			pause = everyTier
+			if ex.isLead() && !ex.isStrong() {
+				pause = everyWeak
+			}
 		}
 		alone := len(ex.peers) == 0
 		ex.mu.Unlock()
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -17,10 +17,16 @@
 	// leadStep how much longer each host further behind waits.
 	leadSilence = 700 * time.Millisecond
 	leadStep    = 300 * time.Millisecond
+	// strongShare is the share of the strongest host's weight from which a host leads like it, and
+	// weakSilence how long a zone does without a lead before a weaker host leads, more slowly.
+	strongShare = 0.5
+	weakSilence = 4 * time.Second
+	// hostsEach is in how many digests of a lead the hosts that it sums up are named once.
+	hostsEach = 4
 	// leadsTold is how many hosts of each zone are told, in case the first does not lead.
 	leadsTold = 2
 	// reportAge is after how long a report counts no more.
-	reportAge = time.Second
+	reportAge = 1500 * time.Millisecond
 )
 
 // Tier says how a digest travels.
@@ -120,7 +126,7 @@
 func (ex *Exchange) Leads() bool {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	return !ex.isFlat() && ex.isLead()
+	return !ex.isFlat() && ex.isLead() && ex.isStrong()
 }
 
 // Follows reports whether this host follows cache stores itself: as the lead of its zone, or because
@@ -128,7 +134,7 @@
 func (ex *Exchange) Follows() bool {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	return ex.isFlat() || ex.isLead()
+	return ex.isFlat() || (ex.isLead() && ex.isStrong())
 }
 
 func (ex *Exchange) isFlat() bool { return len(ex.peers)+1 <= flatMost }
@@ -138,9 +144,21 @@
 	return slices.IndexFunc(zone, func(pe Peer) bool { return pe.Name == ex.self.Name }), zone
 }
 
+// isStrong reports whether this host is about as strong as the strongest of its zone. A weak host
+// whose link is choked hears nothing of its lead; if it led as well as the strong ones do, its zone
+// would be choked with it.
+func (ex *Exchange) isStrong() bool {
+	_, zone := ex.rank()
+	return ex.self.Weight >= strongShare*zone[0].Weight
+}
+
 func (ex *Exchange) isLead() bool {
 	rank, _ := ex.rank()
-	return rank == 0 || ex.ck.Now().Sub(ex.leadHeard) > leadSilence+time.Duration(rank)*leadStep
+	silence := leadSilence + time.Duration(rank)*leadStep
+	if !ex.isStrong() {
+		silence = weakSilence + time.Duration(rank)*leadStep
+	}
+	return rank == 0 || ex.ck.Now().Sub(ex.leadHeard) > silence
 }
 
 // targets returns what is sent in one round: the digest for each set of peers.
@@ -156,7 +174,13 @@
 	ex.sent = own.Loads
 	own.Tier = Report
 	if !ex.isLead() {
-		return []outgoing{{digest: own, peers: zone[:min(rank, leadsTold)]}}, nil
+		told := slices.Clone(zone[:min(rank, leadsTold)])
+		for _, pe := range zone[len(told):rank] {
+			if pe.Name == ex.lead {
+				told = append(told, pe)
+			}
+		}
+		return []outgoing{{digest: own, peers: told}}, nil
 	}
 	sums := []Digest{own}
 	for name, re := range ex.reports {
@@ -187,8 +211,15 @@
 	}
 	total := merge(all...)
 	total.Host, total.Tier = ex.self.Name, Total
-	added := news()
-	total.Stores, total.Cache = added.Stores, added.Cache
+	if ex.isStrong() {
+		added := news()
+		total.Stores, total.Cache = added.Stores, added.Cache
+	}
+	known := total.Hosts
+	ex.rounds++
+	if ex.rounds%hostsEach != 0 {
+		total.Hosts = nil
+	}
 	members := make([]Peer, 0, len(zone))
 	for _, pe := range zone {
 		if pe.Name != ex.self.Name {
@@ -196,6 +227,7 @@
 		}
 	}
 	at := total
+	at.Hosts = known
 	at.Loads = subtract(total.Loads, own.Loads)
 	at.Stores, at.Cache = nil, nil
 	return []outgoing{{digest: mine, peers: others}, {digest: total, peers: members}}, &at
@@ -217,7 +249,7 @@
 		rank, zone := ex.rank()
 		from := slices.IndexFunc(zone, func(pe Peer) bool { return pe.Name == dg.Host })
 		if from >= 0 && from < rank {
-			ex.leadHeard = now
+			ex.leadHeard, ex.lead = now, dg.Host
 		}
 		dg.Loads = subtract(dg.Loads, ex.sent)
 		return dg, true
--- a/programs/load/site/site.go
+++ b/programs/load/site/site.go
@@ -263,12 +263,15 @@
 }
 
 func (de *demo) close() {
+	defer de.store.Close()
+	defer de.plain.Close()
+	defer de.engine.Close()
 	// A process that has ended already cannot be killed.
 	_ = de.process.Process.Kill()
-	_ = <-de.exited
-	de.engine.Close()
-	de.plain.Close()
-	de.store.Close()
+	if err := <-de.exited; err != nil {
+		// A process that was killed ends with an error of its own.
+		return
+	}
 }
 
 // freeAddress returns an address on loopback that was free a moment ago.
