load: a seeded soak of the real programs

Cause: the platform's path was tested against faults one at a time. Change: make soak SEED=n COUNT=k runs hosts as processes behind loopback proxies, with signals, cuts, delays, silence, faults of the store and flaws of endpoints in series that overlap, and judges what clients and endpoints saw: run at most once, refusals true, streams whole and in order, teams right, one holder of orders at a time, service back after the faults.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SEED ?= 1
 export GOFLAGS := -buildvcs=false
 
-.PHONY: all format build demo demo-platform test lint bench bench-path bench-routing bench-control clean
+.PHONY: all format build demo demo-platform soak test lint bench bench-path bench-routing bench-control clean
 
 all: build
 
@@ -20,6 +20,11 @@
 demo-platform: build
 	$(BIN)/load demo-platform --bin $(BIN)
 
+# COUNT seeds from SEED on; the hosts' output goes to LOGS if it is set.
+COUNT ?= 1
+soak: build
+	$(BIN)/load soak --bin $(BIN) --seed $(SEED) --count $(COUNT) $(if $(LOGS),--logs $(LOGS))
+
 test: build
 	@for m in $(MODULES); do (cd $$m && go test -race -timeout 280s $(if $(SKIP),-skip '$(SKIP)') ./...) || exit 1; done
 
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -51,6 +51,8 @@
 		Events int
 		// Pause is the pause between events.
 		Pause time.Duration
+		// Public is the address in its entry, for endpoints behind a proxy; empty means its own.
+		Public func(address string) string
 		// Cache makes the endpoint a cache store.
 		Cache bool
 	}
@@ -81,6 +83,8 @@
 		Holder   string `json:"holder"`
 		Fence    uint64 `json:"fence"`
 		Expected uint64 `json:"expected"`
+		// At is when it was accepted.
+		At time.Time `json:"-"`
 	}
 
 	keptPart struct {
@@ -146,7 +150,7 @@
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
 	value = map[string]any{
-		"service": ep.opts.Service, "address": ep.Address(), "zone": ep.opts.Zone, "version": "v1", "slots": 8,
+		"service": ep.opts.Service, "address": ep.public(), "zone": ep.opts.Zone, "version": "v1", "slots": 8,
 		"state": state, "coldRemainingMs": 0, "born": 1000, "seq": 0,
 	}
 	if ep.opts.Model != "" {
@@ -156,6 +160,13 @@
 	return "servers/" + ep.id, value
 }
 
+func (ep *Endpoint) public() string {
+	if ep.opts.Public == nil {
+		return ep.Address()
+	}
+	return ep.opts.Public(ep.Address())
+}
+
 // Rename makes the address that of another endpoint.
 func (ep *Endpoint) Rename(id string) {
 	ep.mu.Lock()
@@ -381,6 +392,7 @@
 	case od.Version == ep.version:
 		w.WriteHeader(http.StatusOK)
 	default:
+		od.At = time.Now()
 		ep.orders = append(ep.orders, od)
 		ep.version = od.Version
 		w.WriteHeader(http.StatusAccepted)
--- a/programs/load/main.go
+++ b/programs/load/main.go
@@ -13,6 +13,7 @@
 	"github.com/bergamotway/bergamotway/programs/load/path"
 	"github.com/bergamotway/bergamotway/programs/load/routing"
 	"github.com/bergamotway/bergamotway/programs/load/site"
+	"github.com/bergamotway/bergamotway/programs/load/soak"
 )
 
 func main() {
@@ -22,6 +23,7 @@
 		Commands: []*cli.Command{
 			demo.Command(),
 			site.Command(),
+			soak.Command(),
 			routing.Command(),
 			control.Command(),
 			path.Command(),
--- a/programs/load/site/site.go
+++ b/programs/load/site/site.go
@@ -274,9 +274,12 @@
 	}
 }
 
-// freeAddress returns an address on loopback that was free a moment ago.
+// freeAddress returns an address on loopback that was free a moment ago, on an IP number that no
+// other process of this kind uses.
 func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>16&63, pid>>8&255, 129+pid&63)
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return "", errors.Wrap(err, "site: address")
 	}
