site, soak, gateway: one client and one configuration for demo, soak and tests; typed failures; files split

Ruled out: the gateway; the proxy had dropped bytes of a connection and passed later ones on, which no network does.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -221,62 +220,6 @@
 	})
 }
 
-// Sample returns at most most endpoints of a service that may get requests, chosen by the key of the
-// request so that hosts with the same view do not all choose the same endpoint. All but one of them
-// are in near, an availability zone, if it is named and has enough. Endpoints that failed a moment ago
-// or take new weights are left out unless hardly any others are there.
-func (fl *Fleet) Sample(service, near, key string, most int) []View {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	now := fl.opts.Clock.Now()
-	var good, rest []*endpoint
-	for id, ep := range fl.endpoints {
-		if fl.isGone(ep, now) {
-			delete(fl.endpoints, id)
-			continue
-		}
-		if ep.entry.Service != service || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
-			continue
-		}
-		if now.Before(ep.avoid) || now.Before(ep.loading) {
-			rest = append(rest, ep)
-			continue
-		}
-		good = append(good, ep)
-	}
-	if len(good)+len(rest) <= most {
-		good = append(good, rest...)
-	} else if len(good) < most/2 {
-		good = append(good, rest[:min(len(rest), most/2)]...)
-	}
-	if len(good) > most {
-		hash := rendezvous.Hash(key)
-		far := func(ep *endpoint) int {
-			if near != "" && ep.entry.Zone != near {
-				return 1
-			}
-			return 0
-		}
-		slices.SortFunc(good, func(a, b *endpoint) int {
-			if c := cmp.Compare(far(a), far(b)); c != 0 {
-				return c
-			}
-			return cmp.Compare(rendezvous.Score(hash, a.hash), rendezvous.Score(hash, b.hash))
-		})
-		// The last is far away, in case the zone is overloaded.
-		if near != "" && most > 1 && far(good[len(good)-1]) == 1 {
-			good[most-1] = good[len(good)-1]
-		}
-		good = good[:most]
-	}
-	out := make([]View, 0, len(good))
-	for _, ep := range good {
-		out = append(out, ep.view(now))
-	}
-	slices.SortFunc(out, func(a, b View) int { return strings.Compare(a.ID, b.ID) })
-	return out
-}
-
 // Down returns the endpoints that this host cannot reach now.
 func (fl *Fleet) Down() map[string]int {
 	fl.mu.Lock()
@@ -342,85 +285,6 @@
 	return out
 }
 
-// Begin counts a request at an endpoint. It returns nil if the endpoint may not get it any more,
-// or is cold and this host has used up its share of what cold endpoints bear.
-func (fl *Fleet) Begin(id string, load Load, coldRate float64) *Ticket {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	ep := fl.endpoints[id]
-	if ep == nil || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
-		return nil
-	}
-	now := fl.opts.Clock.Now()
-	if coldRate > 0 && now.Before(ep.coldUntil) &&
-		!ep.cold.take(now, coldShare(coldRate, id, fl.opts.Host, fl.hosts)) {
-		return nil
-	}
-	ep.own.Requests += load.Requests
-	ep.own.Tokens += load.Tokens
-	ep.own.Unread += load.Unread
-	return &Ticket{fl: fl, ep: ep, load: load}
-}
-
-// Read records that the endpoint has read the prompt of the request.
-func (ti *Ticket) Read() {
-	ti.fl.mu.Lock()
-	defer ti.fl.mu.Unlock()
-	ti.readLocked()
-}
-
-func (ti *Ticket) readLocked() {
-	if !ti.read {
-		ti.read = true
-		ti.ep.own.Unread -= ti.load.Unread
-	}
-}
-
-// End ends the request. A second call does nothing.
-func (ti *Ticket) End(oc Outcome, coldFor time.Duration) {
-	ti.fl.mu.Lock()
-	defer ti.fl.mu.Unlock()
-	if ti.done {
-		return
-	}
-	ti.done = true
-	ti.readLocked()
-	ti.ep.own.Requests -= ti.load.Requests
-	ti.ep.own.Tokens -= ti.load.Tokens
-	now := ti.fl.opts.Clock.Now()
-	switch oc {
-	case Good:
-		ti.ep.failures *= 1 - failureWeight
-		ti.ep.backoff = 0
-	case Failed:
-		ti.ep.failures += failureWeight * (1 - ti.ep.failures)
-	case Unreachable:
-		ti.ep.failures += failureWeight * (1 - ti.ep.failures)
-		ti.ep.backoff = min(max(2*ti.ep.backoff, avoidFirst), avoidMost)
-		ti.ep.avoid = now.Add(ti.ep.backoff)
-		// An endpoint that refuses connections is starting again, and will be cold.
-		ti.ep.coldUntil = later(ti.ep.coldUntil, now.Add(coldFor))
-	case Neutral:
-	}
-}
-
-// Used records the prompt parts that an endpoint has read, and Resident tells whether it has.
-func (fl *Fleet) Used(id, key string, tokens, capacity int) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	if ep := fl.endpoints[id]; ep != nil {
-		ep.resident.use(key, tokens, int(float64(capacity)*residentShare))
-	}
-}
-
-// Resident reports whether an endpoint is expected to hold a prompt part in its memory.
-func (fl *Fleet) Resident(id, key string) bool {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	ep := fl.endpoints[id]
-	return ep != nil && ep.resident.has(key)
-}
-
 // Weights records which version of a model's weights an endpoint has, from its own answers.
 func (fl *Fleet) Weights(id, model string, version uint64) {
 	fl.mu.Lock()
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -104,7 +104,7 @@
 func (fw *forwarding) try(ctx, client context.Context, pl plan) (verdict, error) {
 	gw, rq := fw.gw, fw.rq
 	if (fw.sent > 0 || fw.rejected > 0) && !gw.opts.Budget.Take(rq.service.Name) {
-		return giveUp, errors.New("gateway: the budget for repeats is used up")
+		return giveUp, failure("the budget for repeats is used up")
 	}
 	ti := gw.opts.Fleet.Begin(pl.view.ID, pl.load, rq.service.ColdRate)
 	if ti == nil {
@@ -112,7 +112,7 @@
 		fw.tried = append(fw.tried, pl.view.ID)
 		fw.unsent++
 		if fw.unsent > unsentMost {
-			return giveUp, errors.New("gateway: no endpoint takes the request now")
+			return giveUp, failure("no endpoint takes the request now")
 		}
 		return again, nil
 	}
@@ -169,7 +169,7 @@
 	if me.NotRun {
 		fw.rejected++
 		ti.End(fleet.Neutral, coldIn)
-		fw.note(pl, "rejected", errors.Errorf("gateway: status %d", an.Status))
+		fw.note(pl, "rejected", &StatusError{status: an.Status})
 		drain(an)
 		if !me.Misdirected {
 			gw.opts.Fleet.Shun(pl.view.ID, shunFor)
@@ -178,7 +178,7 @@
 		if fw.rejected <= rejectedMost && fw.sent < rq.route.Attempts {
 			return again, nil
 		}
-		return giveUp, errors.Errorf("gateway: %s did not run the request", pl.view.ID)
+		return giveUp, &RejectedError{endpoint: pl.view.ID}
 	}
 	fw.sent++
 	fw.mayHaveRun = true
@@ -207,7 +207,7 @@
 		}
 		if me.RequestID == "" {
 			an.Close()
-			return errors.New("gateway: an answer does not name its request")
+			return failure("an answer does not name its request")
 		}
 		if _, err := io.Copy(io.Discard, io.LimitReader(an, answerBytes)); err != nil {
 			an.Close()
@@ -226,7 +226,7 @@
 	body, err := io.ReadAll(io.LimitReader(an, answerBytes))
 	success := an.Status >= 200 && an.Status < 300
 	if err == nil && ((success && !me.Sealed) || me.Encoded) {
-		err = errors.New("gateway: the answer is not the endpoint's own")
+		err = failure("the answer is not the endpoint's own")
 	}
 	if err != nil {
 		if fw.repeats() {
@@ -238,7 +238,7 @@
 	if an.Status >= http.StatusInternalServerError {
 		outcome = fleet.Neutral
 		if rq.route.Kind == catalog.Repeatable && fw.repeats() {
-			return again, outcome, errors.Errorf("gateway: status %d", an.Status)
+			return again, outcome, &StatusError{status: an.Status}
 		}
 	}
 	fw.gw.opts.Meter.FirstToken(rq.route.Name, fw.gw.opts.Clock.Now().Sub(rq.arrived))
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -24,15 +24,15 @@
 
 var (
 	idField       = []byte("id:")
-	errEventOrder = errors.New("gateway: an event has no place in the stream")
-	errEventSize  = errors.New("gateway: an event is too large")
+	errEventOrder = failure("an event has no place in the stream")
+	errEventSize  = failure("an event is too large")
 )
 
 // stream returns the events of an answer as they arrive. Only whole events are passed on, so that a
 // stream that breaks can go on at another endpoint after its last event.
 func (fw *forwarding) stream(ctx, client context.Context, an *attempt.Answer, me Meta, pl plan, ti *fleet.Ticket) (verdict, fleet.Outcome, error) {
 	if !me.Sealed || me.Encoded {
-		return fw.broken(errors.New("gateway: the stream is not the endpoint's own"))
+		return fw.broken(failure("the stream is not the endpoint's own"))
 	}
 	br := bufio.NewReader(an)
 	flush := http.NewResponseController(fw.w)
--- /dev/null
+++ b/internal/standin/site/operator.go
@@ -0,0 +1,142 @@
+package site
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// HostName is the host name of all routes that Configure writes.
+	HostName = "shop.example"
+	// Key is the API key of Team, the only team.
+	Key  = "key-of-team"
+	Team = "team"
+	// Model is the model of the service "engines".
+	Model = "crew"
+)
+
+type (
+	// Route is a route of the operator's configuration; its prefix is its name between slashes.
+	Route struct {
+		Name string
+		// Kind is the platform's word for what may be repeated.
+		Kind string
+		// Service is "desk" or "engines".
+		Service   string
+		Attempts  int
+		Resumable bool
+		Timeout   time.Duration
+	}
+
+	// Request is what a client sends.
+	Request struct {
+		ID     string
+		Method string
+		// URI is a path with an optional query.
+		URI  string
+		Body []byte
+		// Model makes it a request to an engine.
+		Model string
+		// Limit is how long the client waits.
+		Limit time.Duration
+		// Header adds fields, or replaces those of the request.
+		Header map[string]string
+	}
+
+	// Reply is what a client got.
+	Reply struct {
+		Status int
+		Header http.Header
+		Body   string
+		// Complete reports that the body was read to its proper end.
+		Complete bool
+		// Err is why no answer came, or why it is not complete.
+		Err error
+	}
+)
+
+// Sealed reports that the endpoint has confirmed the answer.
+func (re Reply) Sealed() bool { return re.Header.Get("X-Response-Seal") != "" }
+
+// TeamOf returns the team and the key that reached the endpoint.
+func (ru Run) TeamOf() (team, apiKey string) {
+	return ru.Header.Get("X-Tenant"), ru.Header.Get("X-Api-Key")
+}
+
+// Configure writes the operator's configuration: the services "desk" and "engines", and a managed
+// cache store at an address, if that is not empty.
+func (st *Store) Configure(version int, cacheStore string, routes ...Route) error {
+	list := make([]map[string]any, 0, len(routes))
+	for _, ro := range routes {
+		list = append(list, map[string]any{
+			"name": ro.Name, "hostname": HostName, "pathPrefix": "/" + ro.Name + "/", "kind": ro.Kind, "service": ro.Service,
+			"timeoutMs": max(ro.Timeout, time.Second).Milliseconds(), "targetLatencyMs": 1000, "maxAttempts": max(1, ro.Attempts),
+			"resumable": ro.Resumable, "gapAimMs": 400,
+		})
+	}
+	services := []map[string]any{
+		{"name": "desk", "healthPath": "/healthz", "maxConnections": 200, "coldStartS": 0.0, "coldPerS": 0.0},
+		{
+			"name": "engines", "healthPath": "/healthz", "maxConnections": 200, "coldStartS": 3.0, "coldPerS": 0.0,
+			"engine": map[string]any{
+				"slots": 64, "kvCapacityTokens": 600000, "kvTokenBytes": 18432, "linkMbps": 180000.0,
+				"models": []map[string]any{{"name": Model}},
+			},
+		},
+	}
+	if cacheStore != "" {
+		services = append(services, map[string]any{
+			"name": "kept", "kvStoreAddr": cacheStore, "zone": "here", "kvCapacityTokens": 1000, "linkMbps": 58000.0,
+			"managed": true, "first_ms": 6.0,
+		})
+	}
+	_, err := st.Put("op/config", map[string]any{
+		"version": version, "routes": list, "services": services,
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []map[string]any{{"name": Team, "apiKeys": []string{Key}, "priority": 1}},
+	})
+	return err
+}
+
+// NameWeights names the version of the model's weights.
+func (st *Store) NameWeights(version int) error {
+	_, err := st.Put("op/version/"+Model, map[string]any{"model": Model, "version": version})
+	return err
+}
+
+// Send sends a request to a host at an address and reads the answer to its end.
+func Send(ctx context.Context, rt http.RoundTripper, address string, rq Request) Reply {
+	hr, err := http.NewRequestWithContext(ctx, rq.Method, "http://"+address+rq.URI, bytes.NewReader(rq.Body))
+	if err != nil {
+		return Reply{Err: errors.Wrap(err, "site: request")}
+	}
+	// A GetBody would let the transport send the request again by itself.
+	hr.GetBody = nil
+	hr.Host = HostName
+	hr.Header.Set("X-Request-Id", rq.ID)
+	hr.Header.Set("X-Api-Key", Key)
+	if rq.Limit > 0 {
+		hr.Header.Set("X-Deadline-Ms", strconv.FormatInt(rq.Limit.Milliseconds(), 10))
+	}
+	if rq.Model != "" {
+		hr.Header.Set("X-Model", rq.Model)
+		hr.Header.Set("X-Token-Usage", "900,20")
+		hr.Header.Set("X-Prompt-Prefix", "aa01:300,bb02:400,cc03:200")
+	}
+	for name, value := range rq.Header {
+		hr.Header.Set(name, value)
+	}
+	rsp, err := rt.RoundTrip(hr)
+	if err != nil {
+		return Reply{Err: errors.Wrap(err, "site: send")}
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	data, err := io.ReadAll(rsp.Body)
+	return Reply{Status: rsp.StatusCode, Header: rsp.Header, Body: string(data), Complete: err == nil, Err: err}
+}
--- a/programs/load/site/site.go
+++ b/programs/load/site/site.go
@@ -2,7 +2,6 @@
 package site
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -24,9 +23,7 @@
 
 const (
 	settingsVariable = "BERGAMOTWAY_SETTINGS"
-	hostName         = "shop.example"
-	apiKey           = "key-of-team"
-	model            = "crew"
+	routeTimeout     = 5 * time.Second
 	// eventually bounds each wait of the demo.
 	eventually = 15 * time.Second
 	pollPeriod = 20 * time.Millisecond
@@ -105,7 +102,7 @@
 		return nil, err
 	}
 	if de.engine, err = site.NewEndpoint(site.EndpointOptions{
-		ID: "engine-1", Service: "engines", Zone: "here", Model: model, Events: 12, Pause: 5 * time.Millisecond,
+		ID: "engine-1", Service: "engines", Zone: "here", Model: site.Model, Events: 12, Pause: 5 * time.Millisecond,
 	}); err != nil {
 		return nil, err
 	}
@@ -156,48 +153,22 @@
 }
 
 func (de *demo) configure(version int, more ...string) error {
-	route := func(name, kind, service string) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": hostName, "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeoutMs": 5000, "targetLatencyMs": 1000, "maxAttempts": 1,
-		}
+	routes := []site.Route{
+		{Name: "pay", Kind: "non_idempotent", Service: "desk", Timeout: routeTimeout},
+		{Name: "note", Kind: "streaming", Service: "engines", Timeout: routeTimeout},
 	}
-	routes := []map[string]any{route("pay", "non_idempotent", "desk"), route("note", "streaming", "engines")}
 	for _, name := range more {
-		routes = append(routes, route(name, "idempotent", "desk"))
+		routes = append(routes, site.Route{Name: name, Kind: "idempotent", Service: "desk", Timeout: routeTimeout})
 	}
-	_, err := de.store.Put("op/config", map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{
-			{"name": "desk", "maxConnections": 32},
-			{"name": "engines", "maxConnections": 32, "engine": map[string]any{
-				"slots": 16, "kvCapacityTokens": 60000, "kvTokenBytes": 18432, "models": []map[string]any{{"name": model}},
-			}},
-		},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 65536},
-		"tenants": []map[string]any{{"name": "team", "apiKeys": []string{apiKey}}},
-	})
-	return err
+	return de.store.Configure(version, "", routes...)
 }
 
 func (de *demo) send(ctx context.Context, path string) (status int, body string, err error) {
 	de.number++
-	rq, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+de.listen+path, bytes.NewBufferString("body"))
-	if err != nil {
-		return 0, "", errors.Wrap(err, "site: request")
-	}
-	rq.Host = hostName
-	rq.Header.Set("X-Request-Id", fmt.Sprintf("demo-%d", de.number))
-	rq.Header.Set("X-Api-Key", apiKey)
-	rq.Header.Set("X-Model", model)
-	rq.Header.Set("X-Token-Usage", "500,20")
-	rsp, err := http.DefaultClient.Do(rq)
-	if err != nil {
-		return 0, "", errors.Wrap(err, "site: send")
-	}
-	defer func() { _ = rsp.Body.Close() }()
-	data, err := io.ReadAll(rsp.Body)
-	return rsp.StatusCode, string(data), errors.Wrap(err, "site: answer")
+	re := site.Send(ctx, http.DefaultTransport, de.listen, site.Request{
+		ID: fmt.Sprintf("demo-%d", de.number), Method: http.MethodPost, URI: path, Body: []byte("body"), Model: site.Model,
+	})
+	return re.Status, re.Body, re.Err
 }
 
 func (de *demo) request(ctx context.Context) error {
--- a/programs/load/soak/proxy.go
+++ b/programs/load/soak/proxy.go
@@ -119,10 +119,14 @@
 // copy passes bytes on until either side ends; an end is passed on as such, a failure as a reset.
 func (pr *proxy) copy(dst, src net.Conn, back bool) {
 	buf := make([]byte, proxyPiece)
+	// A connection that has lost bytes carries nothing more; a network never leaves a hole.
+	lost := false
 	for {
 		n, err := src.Read(buf)
-		switch mo := mode(pr.mode.Load()); {
-		case mo == silent || (mo == oneWay && back):
+		mo := mode(pr.mode.Load())
+		lost = lost || mo == silent || (mo == oneWay && back)
+		switch {
+		case lost:
 			n = 0
 		case mo == slow:
 			time.Sleep(slowBy)
@@ -133,7 +137,7 @@
 				return
 			}
 		}
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && !lost {
 			if tc, ok := dst.(*net.TCPConn); ok {
 				_ = tc.CloseWrite()
 			}
