--- a/internal/standin/site/operator.go
+++ b/internal/standin/site/operator.go
@@ -14,8 +14,9 @@
 const (
 	// HostName is the host name of all routes that Configure writes.
 	HostName = "shop.example"
-	// Key is the API key of Team, the only team.
-	Key  = "key-of-team"
+	// Key is the API key of Team.
+	Key = "key-of-team"
+	// Team is the only team.
 	Team = "team"
 	// Model is the model of the service "engines".
 	Model = "crew"
