keyvalue: name the client of the product's own key-value service after what it is

Cause: two packages were called platform, the adapter to the users' platform and the client that the product's own interface uses. Change: the second is keyvalue; no behaviour changes. Measured: tests of the packages that use it pass.

--- a/internal/booking/commit.go
+++ b/internal/booking/commit.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 )
 
 // commit writes a batch with one compare-and-swap. A conflict means that another host wrote: the
@@ -132,8 +132,8 @@
 	if err != nil {
 		return &LogError{key: rl.headKey(), cause: err}
 	}
-	wr := platform.Write{Key: rl.headKey(), Value: data, WriteID: uuid.NewString(), Revision: rl.revision}
-	en, err := rl.store.CompareAndSwap(ctx, platform.PurposeBooking, wr)
+	wr := keyvalue.Write{Key: rl.headKey(), Value: data, WriteID: uuid.NewString(), Revision: rl.revision}
+	en, err := rl.store.CompareAndSwap(ctx, keyvalue.PurposeBooking, wr)
 	if err != nil {
 		return err
 	}
@@ -152,8 +152,8 @@
 		return
 	}
 	key := rl.segmentKey(rl.revision)
-	_, err = rl.store.CompareAndSwap(ctx, platform.PurposeBooking, platform.Write{Key: key, Value: data, TTL: retention})
-	var ce *platform.ConflictError
+	_, err = rl.store.CompareAndSwap(ctx, keyvalue.PurposeBooking, keyvalue.Write{Key: key, Value: data, TTL: retention})
+	var ce *keyvalue.ConflictError
 	if err != nil && !errors.As(err, &ce) {
 		return
 	}
@@ -162,8 +162,8 @@
 	if err != nil {
 		return
 	}
-	wr := platform.Write{Key: rl.headKey(), Value: data, Revision: rl.revision}
-	en, err := rl.store.CompareAndSwap(ctx, platform.PurposeBooking, wr)
+	wr := keyvalue.Write{Key: rl.headKey(), Value: data, Revision: rl.revision}
+	en, err := rl.store.CompareAndSwap(ctx, keyvalue.PurposeBooking, wr)
 	if err != nil {
 		rl.isLoaded = false
 		return
--- a/internal/booking/ledger.go
+++ b/internal/booking/ledger.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/rendezvous"
 	"github.com/bergamotway/bergamotway/internal/service"
 )
@@ -45,7 +45,7 @@
 	// concurrent use; Run must run for it to make progress.
 	Ledger struct {
 		opts   Options
-		store  platform.Store
+		store  keyvalue.Store
 		ranges [Ranges]*rangeLog
 	}
 )
@@ -53,7 +53,7 @@
 const defaultCommitTimeout = 3 * time.Second
 
 // NewLedger returns a ledger over the key-value service.
-func NewLedger(store platform.Store, opts Options) *Ledger {
+func NewLedger(store keyvalue.Store, opts Options) *Ledger {
 	if opts.Linger == 0 {
 		opts.Linger = DefaultLinger
 	}
@@ -150,7 +150,7 @@
 	if rec.Answer != nil || rec.AnswerKey == "" {
 		return rec.Answer, nil
 	}
-	en, err := ld.store.Get(ctx, platform.PurposeBooking, rec.AnswerKey)
+	en, err := ld.store.Get(ctx, keyvalue.PurposeBooking, rec.AnswerKey)
 	if err != nil {
 		return nil, err
 	}
@@ -166,7 +166,7 @@
 	if err != nil {
 		return &LogError{key: key, cause: err}
 	}
-	wr := platform.Write{Key: key, Value: data, TTL: retention}
-	_, err = ld.store.CompareAndSwap(ctx, platform.PurposeBooking, wr)
+	wr := keyvalue.Write{Key: key, Value: data, TTL: retention}
+	_, err = ld.store.CompareAndSwap(ctx, keyvalue.PurposeBooking, wr)
 	return err
 }
--- a/internal/booking/range.go
+++ b/internal/booking/range.go
@@ -7,15 +7,15 @@
 	"sync"
 	"time"
 
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/lock"
-	"github.com/bergamotway/bergamotway/internal/platform"
 )
 
 type (
 	// rangeLog is one range as this host knows it. Only its run goroutine writes.
 	rangeLog struct {
 		opts   Options
-		store  platform.Store
+		store  keyvalue.Store
 		prefix string
 		queue  chan *submission
 
@@ -52,7 +52,7 @@
 	backlogPeriod = time.Second
 )
 
-func newRangeLog(number int, store platform.Store, opts Options) *rangeLog {
+func newRangeLog(number int, store keyvalue.Store, opts Options) *rangeLog {
 	return &rangeLog{
 		opts:     opts,
 		store:    store,
@@ -82,14 +82,14 @@
 	select {
 	case rl.queue <- sb:
 	case <-ctx.Done():
-		return Decision{}, platform.NewUnavailableError("booking queue", ctx.Err())
+		return Decision{}, keyvalue.NewUnavailableError("booking queue", ctx.Err())
 	}
 	select {
 	case rs := <-sb.reply:
 		return rs.decision, rs.err
 	case <-ctx.Done():
 		rl.abandon(sb)
-		return Decision{}, platform.NewUnavailableError("booking commit", ctx.Err())
+		return Decision{}, keyvalue.NewUnavailableError("booking commit", ctx.Err())
 	}
 }
 
@@ -125,7 +125,7 @@
 		return rec, nil
 	}
 	if err := rl.io.Acquire(ctx); err != nil {
-		return Record{}, platform.NewUnavailableError("booking look", err)
+		return Record{}, keyvalue.NewUnavailableError("booking look", err)
 	}
 	defer rl.io.Release()
 	if err := rl.reload(ctx); err != nil {
@@ -182,7 +182,7 @@
 
 // reload reads the head, and the segments that were cut since.
 func (rl *rangeLog) reload(ctx context.Context) error {
-	en, err := rl.store.Get(ctx, platform.PurposeBooking, rl.headKey())
+	en, err := rl.store.Get(ctx, keyvalue.PurposeBooking, rl.headKey())
 	if err != nil {
 		return err
 	}
@@ -203,11 +203,11 @@
 	if last == "" || rl.segments[last] {
 		return nil
 	}
-	ens, err := rl.store.List(ctx, platform.PurposeBooking, rl.prefix+"segment/")
+	ens, err := rl.store.List(ctx, keyvalue.PurposeBooking, rl.prefix+"segment/")
 	if err != nil {
 		return err
 	}
-	byKey := make(map[string]platform.Entry, len(ens))
+	byKey := make(map[string]keyvalue.Entry, len(ens))
 	for _, en := range ens {
 		byKey[en.Key()] = en
 	}
--- a/internal/configuration/editor.go
+++ b/internal/configuration/editor.go
@@ -11,14 +11,14 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 )
 
 type (
 	// Editor changes the configuration by one compare-and-swap of its head. It is safe for
 	// concurrent use.
 	Editor struct {
-		store  platform.Store
+		store  keyvalue.Store
 		author string
 	}
 
@@ -39,7 +39,7 @@
 const retiredTTL = time.Hour
 
 // NewEditor returns an editor that writes as author.
-func NewEditor(store platform.Store, author string) *Editor {
+func NewEditor(store keyvalue.Store, author string) *Editor {
 	return &Editor{store: store, author: author}
 }
 
@@ -124,8 +124,8 @@
 	if err != nil {
 		return 0, &PartError{part: "head", cause: err}
 	}
-	wr := platform.Write{Key: headKey, Value: data, WriteID: uuid.NewString(), Revision: swapRevision}
-	if _, err = ed.store.CompareAndSwap(ctx, platform.PurposeConfiguration, wr); err != nil {
+	wr := keyvalue.Write{Key: headKey, Value: data, WriteID: uuid.NewString(), Revision: swapRevision}
+	if _, err = ed.store.CompareAndSwap(ctx, keyvalue.PurposeConfiguration, wr); err != nil {
 		return 0, raceOf(err, next.Revision)
 	}
 	ed.retire(ctx, old, next)
@@ -133,15 +133,15 @@
 }
 
 func (ed *Editor) writePart(ctx context.Context, hash string, data []byte) error {
-	wr := platform.Write{Key: partPrefix + hash, Value: data}
-	_, err := ed.store.CompareAndSwap(ctx, platform.PurposeConfiguration, wr)
-	var ce *platform.ConflictError
+	wr := keyvalue.Write{Key: partPrefix + hash, Value: data}
+	_, err := ed.store.CompareAndSwap(ctx, keyvalue.PurposeConfiguration, wr)
+	var ce *keyvalue.ConflictError
 	if !errors.As(err, &ce) {
 		return err
 	}
 	// The same content is there already, perhaps retired: write it again to keep it for good.
 	wr.Revision = ce.Current().Revision()
-	_, err = ed.store.CompareAndSwap(ctx, platform.PurposeConfiguration, wr)
+	_, err = ed.store.CompareAndSwap(ctx, keyvalue.PurposeConfiguration, wr)
 	return err
 }
 
@@ -151,19 +151,19 @@
 		if next.Parts[name] == hash {
 			continue
 		}
-		en, err := ed.store.Get(ctx, platform.PurposeConfiguration, partPrefix+hash)
+		en, err := ed.store.Get(ctx, keyvalue.PurposeConfiguration, partPrefix+hash)
 		if err != nil || en.Revision() == 0 {
 			continue
 		}
-		wr := platform.Write{Key: en.Key(), Value: en.Value(), Revision: en.Revision(), TTL: retiredTTL}
-		if _, err = ed.store.CompareAndSwap(ctx, platform.PurposeConfiguration, wr); err != nil {
+		wr := keyvalue.Write{Key: en.Key(), Value: en.Value(), Revision: en.Revision(), TTL: retiredTTL}
+		if _, err = ed.store.CompareAndSwap(ctx, keyvalue.PurposeConfiguration, wr); err != nil {
 			return
 		}
 	}
 }
 
 func raceOf(err error, revision uint64) error {
-	var ce *platform.ConflictError
+	var ce *keyvalue.ConflictError
 	if !errors.As(err, &ce) {
 		return &UnsettledError{revision: revision, cause: err}
 	}
@@ -174,8 +174,8 @@
 	return &RaceError{winner: won.Author, revision: won.Revision}
 }
 
-func readHead(ctx context.Context, store platform.Store) (Head, platform.Entry, error) {
-	en, err := store.Get(ctx, platform.PurposeConfiguration, headKey)
+func readHead(ctx context.Context, store keyvalue.Store) (Head, keyvalue.Entry, error) {
+	en, err := store.Get(ctx, keyvalue.PurposeConfiguration, headKey)
 	if err != nil {
 		return Head{}, en, err
 	}
@@ -183,7 +183,7 @@
 	return hd, en, err
 }
 
-func parseHead(en platform.Entry) (Head, error) {
+func parseHead(en keyvalue.Entry) (Head, error) {
 	var hd Head
 	if en.Revision() == 0 {
 		return hd, nil
@@ -195,14 +195,14 @@
 }
 
 // readParts reads the parts of hd that known lacks, and returns the content of all.
-func readParts(ctx context.Context, store platform.Store, hd Head, known map[string][]byte) (map[string][]byte, error) {
+func readParts(ctx context.Context, store keyvalue.Store, hd Head, known map[string][]byte) (map[string][]byte, error) {
 	out := make(map[string][]byte, len(hd.Parts))
 	for name, hash := range hd.Parts {
 		if data, ok := known[hash]; ok {
 			out[hash] = data
 			continue
 		}
-		en, err := store.Get(ctx, platform.PurposeConfiguration, partPrefix+hash)
+		en, err := store.Get(ctx, keyvalue.PurposeConfiguration, partPrefix+hash)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/configuration/editor_test.go
+++ b/internal/configuration/editor_test.go
@@ -10,9 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/configuration"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/settings"
-	"github.com/bergamotway/bergamotway/internal/standin/keyvalue"
+	standin "github.com/bergamotway/bergamotway/internal/standin/keyvalue"
 )
 
 func large(doc *configuration.Document) error {
@@ -35,15 +35,15 @@
 // TestSizeOfTwoYears keeps every value far below the limit, and a change of one team small.
 func TestSizeOfTwoYears(t *testing.T) {
 	clk := clockwork.NewFakeClock()
-	kv := keyvalue.New(clk)
+	kv := standin.New(clk)
 	ctx := context.Background()
 	ed := configuration.NewEditor(kv, "a")
 	_, err := ed.Change(ctx, large)
 	require.NoError(t, err)
-	ens, err := kv.List(ctx, platform.PurposeConfiguration, "")
+	ens, err := kv.List(ctx, keyvalue.PurposeConfiguration, "")
 	require.NoError(t, err)
 	for _, en := range ens {
-		require.Less(t, len(en.Value()), platform.ValueLimit/16, en.Key())
+		require.Less(t, len(en.Value()), keyvalue.ValueLimit/16, en.Key())
 	}
 	kp := configuration.NewKeeper(kv, nil)
 	require.NoError(t, kp.Pull(ctx))
@@ -62,13 +62,13 @@
 	require.True(t, ok)
 	require.Len(t, up.Parts, 1, "a peer that is one revision behind gets one bucket")
 	clk.Advance(2 * time.Hour)
-	left, err := kv.List(ctx, platform.PurposeConfiguration, "")
+	left, err := kv.List(ctx, keyvalue.PurposeConfiguration, "")
 	require.NoError(t, err)
 	require.Len(t, left, len(ens), "the replaced part has expired")
 }
 
 func TestKeeperNeverReverts(t *testing.T) {
-	kv := keyvalue.New(clockwork.NewFakeClock())
+	kv := standin.New(clockwork.NewFakeClock())
 	ctx := context.Background()
 	ed := configuration.NewEditor(kv, "a")
 	_, err := ed.Change(ctx, large)
@@ -94,7 +94,7 @@
 }
 
 func TestInvalidChangeListsEveryProblem(t *testing.T) {
-	ed := configuration.NewEditor(keyvalue.New(clockwork.NewFakeClock()), "a")
+	ed := configuration.NewEditor(standin.New(clockwork.NewFakeClock()), "a")
 	_, err := ed.Change(context.Background(), func(doc *configuration.Document) error {
 		doc.Classes = []configuration.Class{{Name: "c", Model: "none", FirstToken: settings.Duration(time.Second)}}
 		doc.Endpoints = []configuration.Endpoint{{Name: "e", Address: "host:80", Zone: "none", Model: "none"}}
--- a/internal/configuration/keeper.go
+++ b/internal/configuration/keeper.go
@@ -5,7 +5,7 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 )
 
 type (
@@ -18,7 +18,7 @@
 	// Keeper holds the newest configuration that a host has seen, from the service or any peer.
 	// The revision in force never falls. It is safe for concurrent use.
 	Keeper struct {
-		store   platform.Store
+		store   keyvalue.Store
 		changed func(*Snapshot)
 
 		mu      sync.Mutex
@@ -35,7 +35,7 @@
 
 // NewKeeper returns a keeper without a configuration. It calls changed after each new revision,
 // one call at a time; nil is allowed.
-func NewKeeper(store platform.Store, changed func(*Snapshot)) *Keeper {
+func NewKeeper(store keyvalue.Store, changed func(*Snapshot)) *Keeper {
 	kp := &Keeper{store: store, changed: changed, content: make(map[string][]byte)}
 	kp.current.Store(NewSnapshot(0, "", Document{}))
 	return kp
@@ -49,7 +49,7 @@
 
 // Pull reads the newest revision from the service and puts it in force.
 func (kp *Keeper) Pull(ctx context.Context) error {
-	en, err := kp.store.Get(ctx, platform.PurposeConfiguration, headKey)
+	en, err := kp.store.Get(ctx, keyvalue.PurposeConfiguration, headKey)
 	if err != nil {
 		return err
 	}
@@ -57,7 +57,7 @@
 }
 
 // take puts the revision of a head entry in force, after reading the parts that are not known yet.
-func (kp *Keeper) take(ctx context.Context, en platform.Entry) error {
+func (kp *Keeper) take(ctx context.Context, en keyvalue.Entry) error {
 	hd, err := parseHead(en)
 	if err != nil || hd.Revision <= kp.Revision() {
 		return err
--- a/internal/configuration/part.go
+++ b/internal/configuration/part.go
@@ -6,7 +6,7 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/rendezvous"
 )
 
@@ -74,8 +74,8 @@
 		if err != nil {
 			return nil, &PartError{part: name, cause: err}
 		}
-		if len(data) > platform.ValueLimit {
-			return nil, &PartError{part: name, cause: platform.NewSizeError(name, len(data))}
+		if len(data) > keyvalue.ValueLimit {
+			return nil, &PartError{part: name, cause: keyvalue.NewSizeError(name, len(data))}
 		}
 		out[name] = data
 	}
--- a/internal/configuration/watcher.go
+++ b/internal/configuration/watcher.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 )
 
 type (
@@ -97,14 +97,14 @@
 // watchBound at the latest.
 func (wa *Watcher) watchOnce(ctx context.Context) error {
 	kp := wa.keeper
-	en, err := kp.store.Get(ctx, platform.PurposeConfiguration, headKey)
+	en, err := kp.store.Get(ctx, keyvalue.PurposeConfiguration, headKey)
 	if err != nil {
 		return err
 	}
 	if err = kp.take(ctx, en); err != nil {
 		return err
 	}
-	en, err = kp.store.Watch(ctx, platform.PurposeConfiguration, headKey, en.Revision(), watchBound)
+	en, err = kp.store.Watch(ctx, keyvalue.PurposeConfiguration, headKey, en.Revision(), watchBound)
 	if err != nil {
 		return err
 	}
--- a/internal/endpoint/registry.go
+++ b/internal/endpoint/registry.go
@@ -12,7 +12,7 @@
 
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/configuration"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/rendezvous"
 	"github.com/bergamotway/bergamotway/internal/slot"
@@ -45,7 +45,7 @@
 	Registry struct {
 		clk      clock.Clock
 		snapshot func() *configuration.Snapshot
-		listed   atomic.Pointer[map[string]platform.HostState]
+		listed   atomic.Pointer[map[string]keyvalue.HostState]
 
 		mu     sync.Mutex
 		states map[string]*state
@@ -65,13 +65,13 @@
 // NewRegistry returns a registry over the configuration in force.
 func NewRegistry(clk clock.Clock, snapshot func() *configuration.Snapshot) *Registry {
 	rg := &Registry{clk: clk, snapshot: snapshot, states: make(map[string]*state)}
-	rg.listed.Store(&map[string]platform.HostState{})
+	rg.listed.Store(&map[string]keyvalue.HostState{})
 	return rg
 }
 
 // SetListed takes in the platform's list of hosts.
-func (rg *Registry) SetListed(hosts []platform.ListedHost) {
-	byAddress := make(map[string]platform.HostState, len(hosts))
+func (rg *Registry) SetListed(hosts []keyvalue.ListedHost) {
+	byAddress := make(map[string]keyvalue.HostState, len(hosts))
 	for _, h := range hosts {
 		byAddress[h.Address] = h.State
 	}
@@ -79,7 +79,7 @@
 }
 
 // NoteListed takes in one line of the platform's list, heard from another host.
-func (rg *Registry) NoteListed(address string, hs platform.HostState) {
+func (rg *Registry) NoteListed(address string, hs keyvalue.HostState) {
 	for {
 		old := rg.listed.Load()
 		next := maps.Clone(*old)
@@ -104,7 +104,7 @@
 	rg.mu.Lock()
 	defer rg.mu.Unlock()
 	for _, ep := range sn.EndpointsOf(model) {
-		if ep.Leaving || listed[ep.Address] == platform.HostLeaving {
+		if ep.Leaving || listed[ep.Address] == keyvalue.HostLeaving {
 			continue
 		}
 		if provider != "" && ep.Provider != provider {
--- a/internal/host/control.go
+++ b/internal/host/control.go
@@ -18,13 +18,13 @@
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/configuration"
 	"github.com/bergamotway/bergamotway/internal/endpoint"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/lease"
 	"github.com/bergamotway/bergamotway/internal/link"
 	"github.com/bergamotway/bergamotway/internal/lock"
 	"github.com/bergamotway/bergamotway/internal/logs"
 	"github.com/bergamotway/bergamotway/internal/membership"
 	"github.com/bergamotway/bergamotway/internal/peer"
-	"github.com/bergamotway/bergamotway/internal/platform"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/refusal"
 	"github.com/bergamotway/bergamotway/internal/rollout"
@@ -56,8 +56,8 @@
 type (
 	// Platform is what a host needs of the platform.
 	Platform interface {
-		platform.Store
-		Hosts(ctx context.Context) ([]platform.ListedHost, error)
+		keyvalue.Store
+		Hosts(ctx context.Context) ([]keyvalue.ListedHost, error)
 	}
 
 	// Reporter asks endpoints for their reports and orders them to load weights.
@@ -106,7 +106,7 @@
 		fetching  *lock.Lock
 		// confirming joins concurrent questions to one endpoint.
 		confirming singleflight.Group
-		listed     atomic.Pointer[[]platform.ListedHost]
+		listed     atomic.Pointer[[]keyvalue.ListedHost]
 
 		ownedView      *membership.View
 		ownedSnapshot  *configuration.Snapshot
@@ -149,7 +149,7 @@
 	co.Turns = link.NewDesk(parts.Clock, link.NewTable(parts.Clock, co.linkBudget), co, parts.Caller)
 	co.Table.OnFact(co.hear)
 	co.Table.OnChange(co.membersChanged)
-	co.listed.Store(&[]platform.ListedHost{})
+	co.listed.Store(&[]keyvalue.ListedHost{})
 	return co
 }
 
@@ -255,7 +255,7 @@
 
 func (co *Control) hear(f membership.Fact) {
 	if f.Kind == factListed {
-		co.Registry.NoteListed(f.Key, platform.HostState(f.Value))
+		co.Registry.NoteListed(f.Key, keyvalue.HostState(f.Value))
 		return
 	}
 	if f.Kind != factCrash {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,10 +18,10 @@
 	"github.com/bergamotway/bergamotway/internal/dispatch"
 	"github.com/bergamotway/bergamotway/internal/engine"
 	"github.com/bergamotway/bergamotway/internal/entry"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/logs"
 	"github.com/bergamotway/bergamotway/internal/membership"
 	"github.com/bergamotway/bergamotway/internal/peer"
-	"github.com/bergamotway/bergamotway/internal/platform"
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/service"
 	"github.com/bergamotway/bergamotway/internal/store"
@@ -109,7 +109,7 @@
 			Incarnation: uint64(clk.Now().UnixMilli()),
 		},
 		Clock: clk,
-		Platform: platform.NewClient(platform.Options{
+		Platform: keyvalue.NewClient(keyvalue.Options{
 			Address:      st.KeyValue,
 			HostsAddress: st.HostList,
 			Meter:        ho.meter,
--- a/internal/host/poll.go
+++ b/internal/host/poll.go
@@ -9,8 +9,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bergamotway/bergamotway/internal/configuration"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/logs"
-	"github.com/bergamotway/bergamotway/internal/platform"
 	"github.com/bergamotway/bergamotway/internal/rollout"
 )
 
@@ -110,14 +110,14 @@
 }
 
 // takeList puts the list in force and returns the lines whose state changed.
-func (co *Control) takeList(hosts []platform.ListedHost) []platform.ListedHost {
-	old := make(map[string]platform.HostState)
+func (co *Control) takeList(hosts []keyvalue.ListedHost) []keyvalue.ListedHost {
+	old := make(map[string]keyvalue.HostState)
 	for _, h := range *co.listed.Load() {
 		old[h.Address] = h.State
 	}
 	co.Registry.SetListed(hosts)
 	co.listed.Store(&hosts)
-	return slices.DeleteFunc(slices.Clone(hosts), func(h platform.ListedHost) bool {
-		return old[h.Address] == h.State || (old[h.Address] == "" && h.State == platform.HostLive)
+	return slices.DeleteFunc(slices.Clone(hosts), func(h keyvalue.ListedHost) bool {
+		return old[h.Address] == h.State || (old[h.Address] == "" && h.State == keyvalue.HostLive)
 	})
 }
--- a/internal/platform/client.go
+++ b/internal/keyvalue/client.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import (
 	"context"
--- a/internal/platform/error.go
+++ b/internal/keyvalue/error.go
@@ -1,4 +1,4 @@
-package platform
+package keyvalue
 
 import "fmt"
 
@@ -30,7 +30,7 @@
 
 // Error names the key and its current revision.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("platform: key %q is at revision %d", e.current.key, e.current.revision)
+	return fmt.Sprintf("keyvalue: key %q is at revision %d", e.current.key, e.current.revision)
 }
 
 // Current returns the entry that won.
@@ -43,7 +43,7 @@
 
 // Error names the operation and the cause.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("platform: %s: %v", e.operation, e.cause)
+	return fmt.Sprintf("keyvalue: %s: %v", e.operation, e.cause)
 }
 
 // Unwrap returns the cause.
@@ -56,9 +56,9 @@
 
 // Error names the key and its size.
 func (e *SizeError) Error() string {
-	return fmt.Sprintf("platform: value of key %q has %d bytes, above %d", e.key, e.size, ValueLimit)
+	return fmt.Sprintf("keyvalue: value of key %q has %d bytes, above %d", e.key, e.size, ValueLimit)
 }
 
 func (e statusError) Error() string {
-	return fmt.Sprintf("platform: unexpected status %d", int(e))
+	return fmt.Sprintf("keyvalue: unexpected status %d", int(e))
 }
--- a/internal/platform/platform.go
+++ b/internal/keyvalue/keyvalue.go
@@ -1,5 +1,6 @@
-// Package platform is the client of the platform's key-value service and list of hosts.
-package platform
+// Package keyvalue is the client of the key-value service and list of hosts that the product's own
+// interface uses. Hosts on the users' platform use package metastore instead.
+package keyvalue
 
 import (
 	"context"
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -13,8 +13,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/lock"
-	"github.com/bergamotway/bergamotway/internal/platform"
 )
 
 const (
@@ -41,7 +41,7 @@
 	// Keeper acquires and renews leases for one host. It is safe for concurrent use.
 	Keeper struct {
 		clk   clock.Clock
-		store platform.Store
+		store keyvalue.Store
 		host  string
 
 		mu     sync.Mutex
@@ -60,7 +60,7 @@
 )
 
 // NewKeeper returns a keeper that writes leases in the name of host.
-func NewKeeper(clk clock.Clock, store platform.Store, host string) *Keeper {
+func NewKeeper(clk clock.Clock, store keyvalue.Store, host string) *Keeper {
 	return &Keeper{clk: clk, store: store, host: host, leases: make(map[string]*entry)}
 }
 
@@ -112,21 +112,21 @@
 		}
 		if en.get().IsHeld(kp.clk.Now()) {
 			en.set(Lease{})
-			wr := platform.Write{Key: key(name), Revision: en.revision, TTL: time.Millisecond}
-			_, _ = kp.store.CompareAndSwap(ctx, platform.PurposeLease, wr)
+			wr := keyvalue.Write{Key: key(name), Revision: en.revision, TTL: time.Millisecond}
+			_, _ = kp.store.CompareAndSwap(ctx, keyvalue.PurposeLease, wr)
 		}
 		en.asking.Release()
 	}
 }
 
 func (kp *Keeper) ask(ctx context.Context, name string, en *entry, now time.Time) {
-	wr := platform.Write{Key: key(name), Value: []byte(kp.host), Revision: en.revision, TTL: Term}
+	wr := keyvalue.Write{Key: key(name), Value: []byte(kp.host), Revision: en.revision, TTL: Term}
 	ls := en.get()
 	if !ls.IsHeld(now) {
 		wr.Revision = 0
 	}
-	won, err := kp.store.CompareAndSwap(ctx, platform.PurposeLease, wr)
-	var ce *platform.ConflictError
+	won, err := kp.store.CompareAndSwap(ctx, keyvalue.PurposeLease, wr)
+	var ce *keyvalue.ConflictError
 	switch {
 	case err == nil && wr.Revision > 0:
 		en.revision = won.Revision()
--- a/internal/session/dispatch_test.go
+++ b/internal/session/dispatch_test.go
@@ -12,7 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/bergamotway/bergamotway/internal/configuration"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/refusal"
 )
 
@@ -208,7 +208,7 @@
 		},
 		"endpoint leave by list": func(w *world) {
 			w.kv.set(func() {
-				w.kv.listed = []platform.ListedHost{{Address: "10.0.7.1:80", State: platform.HostLeaving}}
+				w.kv.listed = []keyvalue.ListedHost{{Address: "10.0.7.1:80", State: keyvalue.HostLeaving}}
 			})
 		},
 	}
--- a/internal/session/fake_test.go
+++ b/internal/session/fake_test.go
@@ -14,23 +14,23 @@
 	"github.com/bergamotway/bergamotway/internal/dispatch"
 	"github.com/bergamotway/bergamotway/internal/engine"
 	"github.com/bergamotway/bergamotway/internal/history"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/service"
-	"github.com/bergamotway/bergamotway/internal/standin/keyvalue"
+	standin "github.com/bergamotway/bergamotway/internal/standin/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/standin/plain"
 )
 
 type (
 	// fakePlatform is the key-value service with its faults.
 	fakePlatform struct {
-		*keyvalue.Service
+		*standin.Service
 		w *world
 
 		mu            sync.Mutex
 		isDown        bool
 		isWatchSilent bool
 		loseAnswers   int
-		listed        []platform.ListedHost
+		listed        []keyvalue.ListedHost
 	}
 
 	// nodePlatform is the key-value service as one host sees it.
@@ -128,7 +128,7 @@
 )
 
 func newFakePlatform(w *world) *fakePlatform {
-	return &fakePlatform{Service: keyvalue.New(clock.System()), w: w}
+	return &fakePlatform{Service: standin.New(clock.System()), w: w}
 }
 
 func (fp *fakePlatform) set(f func()) {
@@ -142,21 +142,21 @@
 	fp.mu.Lock()
 	defer fp.mu.Unlock()
 	if fp.isDown {
-		return platform.NewUnavailableError("call", errUnreachable)
+		return keyvalue.NewUnavailableError("call", errUnreachable)
 	}
 	return nil
 }
 
 // Get reads an entry.
-func (fp *fakePlatform) Get(ctx context.Context, purpose platform.Purpose, key string) (platform.Entry, error) {
+func (fp *fakePlatform) Get(ctx context.Context, purpose keyvalue.Purpose, key string) (keyvalue.Entry, error) {
 	if err := fp.check(); err != nil {
-		return platform.Entry{}, err
+		return keyvalue.Entry{}, err
 	}
 	return fp.Service.Get(ctx, purpose, key)
 }
 
 // List reads entries.
-func (fp *fakePlatform) List(ctx context.Context, purpose platform.Purpose, prefix string) ([]platform.Entry, error) {
+func (fp *fakePlatform) List(ctx context.Context, purpose keyvalue.Purpose, prefix string) ([]keyvalue.Entry, error) {
 	if err := fp.check(); err != nil {
 		return nil, err
 	}
@@ -164,9 +164,9 @@
 }
 
 // Watch waits for a change; while watches are silent, it shows none.
-func (fp *fakePlatform) Watch(ctx context.Context, purpose platform.Purpose, key string, after uint64, bound time.Duration) (platform.Entry, error) {
+func (fp *fakePlatform) Watch(ctx context.Context, purpose keyvalue.Purpose, key string, after uint64, bound time.Duration) (keyvalue.Entry, error) {
 	if err := fp.check(); err != nil {
-		return platform.Entry{}, err
+		return keyvalue.Entry{}, err
 	}
 	fp.mu.Lock()
 	isSilent := fp.isWatchSilent
@@ -185,13 +185,13 @@
 	case <-ctx.Done():
 	case <-end:
 	}
-	return platform.Entry{}, platform.NewUnavailableError("watch", errUnreachable)
+	return keyvalue.Entry{}, keyvalue.NewUnavailableError("watch", errUnreachable)
 }
 
 // CompareAndSwap writes; while answers are lost, the write takes effect all the same.
-func (fp *fakePlatform) CompareAndSwap(ctx context.Context, purpose platform.Purpose, wr platform.Write) (platform.Entry, error) {
+func (fp *fakePlatform) CompareAndSwap(ctx context.Context, purpose keyvalue.Purpose, wr keyvalue.Write) (keyvalue.Entry, error) {
 	if err := fp.check(); err != nil {
-		return platform.Entry{}, err
+		return keyvalue.Entry{}, err
 	}
 	en, err := fp.Service.CompareAndSwap(ctx, purpose, wr)
 	fp.mu.Lock()
@@ -200,11 +200,11 @@
 		fp.loseAnswers--
 	}
 	fp.mu.Unlock()
-	if purpose != platform.PurposeConfiguration {
+	if purpose != keyvalue.PurposeConfiguration {
 		fp.w.logf("key-value %s: write %s, conflict %v, answer lost %v", purpose, wr.Key, err != nil, isLost)
 	}
 	if isLost {
-		return platform.Entry{}, platform.NewUnavailableError("write", errUnreachable)
+		return keyvalue.Entry{}, keyvalue.NewUnavailableError("write", errUnreachable)
 	}
 	return en, err
 }
@@ -215,28 +215,28 @@
 	for np.nd.frozen() {
 		select {
 		case <-ctx.Done():
-			return platform.NewUnavailableError("call", ctx.Err())
+			return keyvalue.NewUnavailableError("call", ctx.Err())
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
 	np.nd.mu.Lock()
 	defer np.nd.mu.Unlock()
 	if np.nd.isDown || np.nd.cut["platform"] {
-		return platform.NewUnavailableError("call", errUnreachable)
+		return keyvalue.NewUnavailableError("call", errUnreachable)
 	}
 	return nil
 }
 
 // Get reads an entry.
-func (np *nodePlatform) Get(ctx context.Context, purpose platform.Purpose, key string) (platform.Entry, error) {
+func (np *nodePlatform) Get(ctx context.Context, purpose keyvalue.Purpose, key string) (keyvalue.Entry, error) {
 	if err := np.check(ctx); err != nil {
-		return platform.Entry{}, err
+		return keyvalue.Entry{}, err
 	}
 	return np.nd.w.kv.Get(ctx, purpose, key)
 }
 
 // List reads entries.
-func (np *nodePlatform) List(ctx context.Context, purpose platform.Purpose, prefix string) ([]platform.Entry, error) {
+func (np *nodePlatform) List(ctx context.Context, purpose keyvalue.Purpose, prefix string) ([]keyvalue.Entry, error) {
 	if err := np.check(ctx); err != nil {
 		return nil, err
 	}
@@ -244,33 +244,33 @@
 }
 
 // Watch waits for a change.
-func (np *nodePlatform) Watch(ctx context.Context, purpose platform.Purpose, key string, after uint64, bound time.Duration) (platform.Entry, error) {
+func (np *nodePlatform) Watch(ctx context.Context, purpose keyvalue.Purpose, key string, after uint64, bound time.Duration) (keyvalue.Entry, error) {
 	if err := np.check(ctx); err != nil {
-		return platform.Entry{}, err
+		return keyvalue.Entry{}, err
 	}
 	en, err := np.nd.w.kv.Watch(ctx, purpose, key, after, bound)
 	if checkErr := np.check(ctx); checkErr != nil {
-		return platform.Entry{}, checkErr
+		return keyvalue.Entry{}, checkErr
 	}
 	return en, err
 }
 
 // CompareAndSwap writes.
-func (np *nodePlatform) CompareAndSwap(ctx context.Context, purpose platform.Purpose, wr platform.Write) (platform.Entry, error) {
+func (np *nodePlatform) CompareAndSwap(ctx context.Context, purpose keyvalue.Purpose, wr keyvalue.Write) (keyvalue.Entry, error) {
 	if err := np.check(ctx); err != nil {
-		return platform.Entry{}, err
+		return keyvalue.Entry{}, err
 	}
 	return np.nd.w.kv.CompareAndSwap(ctx, purpose, wr)
 }
 
 // Hosts returns the platform's list.
-func (np *nodePlatform) Hosts(ctx context.Context) ([]platform.ListedHost, error) {
+func (np *nodePlatform) Hosts(ctx context.Context) ([]keyvalue.ListedHost, error) {
 	if err := np.check(ctx); err != nil {
 		return nil, err
 	}
 	np.nd.w.kv.mu.Lock()
 	defer np.nd.w.kv.mu.Unlock()
-	return append([]platform.ListedHost(nil), np.nd.w.kv.listed...), nil
+	return append([]keyvalue.ListedHost(nil), np.nd.w.kv.listed...), nil
 }
 
 func newFakeEngine(w *world, name string, uptime time.Duration) *fakeEngine {
--- a/internal/session/world_test.go
+++ b/internal/session/world_test.go
@@ -25,9 +25,9 @@
 	"github.com/bergamotway/bergamotway/internal/engine"
 	"github.com/bergamotway/bergamotway/internal/entry"
 	"github.com/bergamotway/bergamotway/internal/host"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/membership"
 	"github.com/bergamotway/bergamotway/internal/peer"
-	"github.com/bergamotway/bergamotway/internal/platform"
 	"github.com/bergamotway/bergamotway/internal/refusal"
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/service"
@@ -458,4 +458,4 @@
 
 var _ host.Platform = (*nodePlatform)(nil)
 
-var _ platform.Store = (*fakePlatform)(nil)
+var _ keyvalue.Store = (*fakePlatform)(nil)
--- a/internal/standin/hostlist/hostlist.go
+++ b/internal/standin/hostlist/hostlist.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 )
 
 // List shows a change only after its lag. It is safe for concurrent use.
@@ -19,8 +19,8 @@
 	lag time.Duration
 
 	mu      sync.Mutex
-	shown   []platform.ListedHost
-	pending []platform.ListedHost
+	shown   []keyvalue.ListedHost
+	pending []keyvalue.ListedHost
 	since   time.Time
 }
 
@@ -30,14 +30,14 @@
 }
 
 // Set replaces the list; the change is shown after the lag.
-func (li *List) Set(hosts []platform.ListedHost) {
+func (li *List) Set(hosts []keyvalue.ListedHost) {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	li.pending, li.since = hosts, li.clk.Now()
 }
 
 // Hosts returns the list as it is shown now.
-func (li *List) Hosts() []platform.ListedHost {
+func (li *List) Hosts() []keyvalue.ListedHost {
 	li.mu.Lock()
 	defer li.mu.Unlock()
 	if li.pending != nil && li.clk.Now().Sub(li.since) >= li.lag {
@@ -49,7 +49,7 @@
 // Handle serves GET /v1/hosts and takes a new list by POST.
 func (li *List) Handle(fc *fasthttp.RequestCtx) {
 	if fc.IsPost() {
-		var hosts []platform.ListedHost
+		var hosts []keyvalue.ListedHost
 		if err := json.Unmarshal(fc.PostBody(), &hosts); err != nil {
 			fc.Error(err.Error(), http.StatusBadRequest)
 			return
@@ -59,7 +59,7 @@
 	}
 	hosts := li.Hosts()
 	if hosts == nil {
-		hosts = []platform.ListedHost{}
+		hosts = []keyvalue.ListedHost{}
 	}
 	data, err := json.Marshal(hosts)
 	if err != nil {
--- a/internal/standin/keyvalue/keyvalue.go
+++ b/internal/standin/keyvalue/keyvalue.go
@@ -13,12 +13,12 @@
 	"github.com/google/uuid"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 )
 
 type (
 	// Service holds all keys in memory. It is safe for concurrent use. It also serves as a
-	// platform.Store without a network.
+	// keyvalue.Store without a network.
 	Service struct {
 		clk clock.Clock
 
@@ -32,12 +32,12 @@
 	}
 
 	stored struct {
-		entry platform.Entry
+		entry keyvalue.Entry
 		until time.Time
 	}
 )
 
-var _ platform.Store = (*Service)(nil)
+var _ keyvalue.Store = (*Service)(nil)
 
 // New returns a service without keys.
 func New(clk clock.Clock) *Service {
@@ -50,7 +50,7 @@
 }
 
 // Get returns the entry of key.
-func (sv *Service) Get(_ context.Context, _ platform.Purpose, key string) (platform.Entry, error) {
+func (sv *Service) Get(_ context.Context, _ keyvalue.Purpose, key string) (keyvalue.Entry, error) {
 	sv.reads.Add(1)
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
@@ -58,11 +58,11 @@
 }
 
 // List returns the entries whose keys begin with prefix.
-func (sv *Service) List(_ context.Context, _ platform.Purpose, prefix string) ([]platform.Entry, error) {
+func (sv *Service) List(_ context.Context, _ keyvalue.Purpose, prefix string) ([]keyvalue.Entry, error) {
 	sv.reads.Add(1)
 	sv.mu.Lock()
 	defer sv.mu.Unlock()
-	var out []platform.Entry
+	var out []keyvalue.Entry
 	for _, key := range slices.Sorted(maps.Keys(sv.entries)) {
 		if en := sv.live(key); en.Revision() > 0 && strings.HasPrefix(key, prefix) {
 			out = append(out, en)
@@ -72,7 +72,7 @@
 }
 
 // Watch waits at most bound for a revision of key above after.
-func (sv *Service) Watch(ctx context.Context, _ platform.Purpose, key string, after uint64, bound time.Duration) (platform.Entry, error) {
+func (sv *Service) Watch(ctx context.Context, _ keyvalue.Purpose, key string, after uint64, bound time.Duration) (keyvalue.Entry, error) {
 	sv.reads.Add(1)
 	end := sv.clk.After(bound)
 	for {
@@ -87,17 +87,17 @@
 		case <-end:
 			return en, nil
 		case <-ctx.Done():
-			return platform.Entry{}, platform.NewUnavailableError("watch "+key, ctx.Err())
+			return keyvalue.Entry{}, keyvalue.NewUnavailableError("watch "+key, ctx.Err())
 		}
 	}
 }
 
 // CompareAndSwap writes a value if the key has the expected revision. A write that was carried
 // out before, by its identifier, is answered as carried out.
-func (sv *Service) CompareAndSwap(_ context.Context, _ platform.Purpose, wr platform.Write) (platform.Entry, error) {
+func (sv *Service) CompareAndSwap(_ context.Context, _ keyvalue.Purpose, wr keyvalue.Write) (keyvalue.Entry, error) {
 	sv.writes.Add(1)
-	if len(wr.Value) > platform.ValueLimit {
-		return platform.Entry{}, platform.NewSizeError(wr.Key, len(wr.Value))
+	if len(wr.Value) > keyvalue.ValueLimit {
+		return keyvalue.Entry{}, keyvalue.NewSizeError(wr.Key, len(wr.Value))
 	}
 	if wr.WriteID == "" {
 		wr.WriteID = uuid.NewString()
@@ -109,10 +109,10 @@
 		if old.Revision() > 0 && old.WriteID() == wr.WriteID {
 			return old, nil
 		}
-		return platform.Entry{}, platform.NewConflictError(old)
+		return keyvalue.Entry{}, keyvalue.NewConflictError(old)
 	}
 	sv.revision++
-	st := stored{entry: platform.NewEntry(wr.Key, slices.Clone(wr.Value), wr.WriteID, sv.revision)}
+	st := stored{entry: keyvalue.NewEntry(wr.Key, slices.Clone(wr.Value), wr.WriteID, sv.revision)}
 	if wr.TTL > 0 {
 		st.until = sv.clk.Now().Add(wr.TTL)
 	}
@@ -122,14 +122,14 @@
 	return st.entry, nil
 }
 
-func (sv *Service) live(key string) platform.Entry {
+func (sv *Service) live(key string) keyvalue.Entry {
 	st, ok := sv.entries[key]
 	if ok && !st.until.IsZero() && !sv.clk.Now().Before(st.until) {
 		delete(sv.entries, key)
 		ok = false
 	}
 	if !ok {
-		return platform.NewEntry(key, nil, "", 0)
+		return keyvalue.NewEntry(key, nil, "", 0)
 	}
 	return st.entry
 }
--- a/internal/standin/keyvalue/server.go
+++ b/internal/standin/keyvalue/server.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 )
 
 type wireEntry struct {
@@ -51,14 +51,14 @@
 
 func (sv *Service) handlePut(fc *fasthttp.RequestCtx, key string) {
 	args := fc.QueryArgs()
-	en, err := sv.CompareAndSwap(context.Background(), "", platform.Write{
+	en, err := sv.CompareAndSwap(context.Background(), "", keyvalue.Write{
 		Key:      key,
 		Value:    fc.PostBody(),
 		WriteID:  string(args.Peek("write-id")),
 		Revision: uint64(number(args, "revision")),
 		TTL:      time.Duration(number(args, "ttl-ms")) * time.Millisecond,
 	})
-	var ce *platform.ConflictError
+	var ce *keyvalue.ConflictError
 	if errors.As(err, &ce) {
 		writeEntry(fc, ce.Current(), nil)
 		fc.SetStatusCode(http.StatusConflict)
@@ -86,7 +86,7 @@
 	fc.SetBody(data)
 }
 
-func writeEntry(fc *fasthttp.RequestCtx, en platform.Entry, err error) {
+func writeEntry(fc *fasthttp.RequestCtx, en keyvalue.Entry, err error) {
 	switch {
 	case err != nil:
 		fc.Error(err.Error(), http.StatusBadRequest)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -18,7 +18,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/refusal"
 )
 
@@ -55,7 +55,7 @@
 }
 
 var (
-	_ platform.Meter = (*Meter)(nil)
+	_ keyvalue.Meter = (*Meter)(nil)
 
 	firstTokenBounds = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.55, 0.8, 1.2, 2, 4, 8, 16, 32}
 )
@@ -168,7 +168,7 @@
 }
 
 // PlatformCall counts a call to the key-value service.
-func (me *Meter) PlatformCall(purpose platform.Purpose, write bool) {
+func (me *Meter) PlatformCall(purpose keyvalue.Purpose, write bool) {
 	kind := "read"
 	if write {
 		kind = "write"
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/refusal"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
 )
@@ -22,7 +22,7 @@
 	me.Dispatched("crew")
 	me.Tokens(telemetry.Recomputed, 5)
 	me.FirstToken("crew", time.Second)
-	me.PlatformCall(platform.PurposeBooking, true)
+	me.PlatformCall(keyvalue.PurposeBooking, true)
 	me.ControlBytes(5, 7)
 	me.Moved("import", 9)
 	me.Spent("crew", 1)
--- a/programs/bergamotctl/main.go
+++ b/programs/bergamotctl/main.go
@@ -11,7 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bergamotway/bergamotway/internal/configuration"
-	"github.com/bergamotway/bergamotway/internal/platform"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/settings"
 )
 
@@ -68,7 +68,7 @@
 	if address == "" {
 		return nil, &usageError{problem: "--key-value is needed"}
 	}
-	store := platform.NewClient(platform.Options{Address: address})
+	store := keyvalue.NewClient(keyvalue.Options{Address: address})
 	return configuration.NewEditor(store, cmd.String("author")), nil
 }
 
--- a/programs/load/control/member.go
+++ b/programs/load/control/member.go
@@ -14,9 +14,9 @@
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/engine"
 	"github.com/bergamotway/bergamotway/internal/host"
+	"github.com/bergamotway/bergamotway/internal/keyvalue"
 	"github.com/bergamotway/bergamotway/internal/membership"
 	"github.com/bergamotway/bergamotway/internal/peer"
-	"github.com/bergamotway/bergamotway/internal/platform"
 	"github.com/bergamotway/bergamotway/internal/slot"
 )
 
@@ -104,19 +104,19 @@
 func (me *member) ControlBytes(sent, received int) { me.bytes.Add(int64(sent + received)) }
 
 // Get reads an entry.
-func (mp *memberPlatform) Get(ctx context.Context, purpose platform.Purpose, key string) (platform.Entry, error) {
+func (mp *memberPlatform) Get(ctx context.Context, purpose keyvalue.Purpose, key string) (keyvalue.Entry, error) {
 	mp.me.fl.reads.Add(1)
 	return mp.me.fl.kv.Get(ctx, purpose, key)
 }
 
 // List reads entries.
-func (mp *memberPlatform) List(ctx context.Context, purpose platform.Purpose, prefix string) ([]platform.Entry, error) {
+func (mp *memberPlatform) List(ctx context.Context, purpose keyvalue.Purpose, prefix string) ([]keyvalue.Entry, error) {
 	mp.me.fl.reads.Add(1)
 	return mp.me.fl.kv.List(ctx, purpose, prefix)
 }
 
 // Watch waits for a change; on a host whose watches are silent it shows none.
-func (mp *memberPlatform) Watch(ctx context.Context, purpose platform.Purpose, key string, after uint64, bound time.Duration) (platform.Entry, error) {
+func (mp *memberPlatform) Watch(ctx context.Context, purpose keyvalue.Purpose, key string, after uint64, bound time.Duration) (keyvalue.Entry, error) {
 	mp.me.fl.reads.Add(1)
 	if !mp.me.isSilent.Load() {
 		return mp.me.fl.kv.Watch(ctx, purpose, key, after, bound)
@@ -125,17 +125,17 @@
 	case <-ctx.Done():
 	case <-time.After(bound):
 	}
-	return platform.Entry{}, platform.NewUnavailableError("watch", context.DeadlineExceeded)
+	return keyvalue.Entry{}, keyvalue.NewUnavailableError("watch", context.DeadlineExceeded)
 }
 
 // CompareAndSwap writes.
-func (mp *memberPlatform) CompareAndSwap(ctx context.Context, purpose platform.Purpose, wr platform.Write) (platform.Entry, error) {
+func (mp *memberPlatform) CompareAndSwap(ctx context.Context, purpose keyvalue.Purpose, wr keyvalue.Write) (keyvalue.Entry, error) {
 	mp.me.fl.write.Add(1)
 	return mp.me.fl.kv.CompareAndSwap(ctx, purpose, wr)
 }
 
 // Hosts returns an empty list. It is another service, but its reads are counted all the same.
-func (mp *memberPlatform) Hosts(context.Context) ([]platform.ListedHost, error) {
+func (mp *memberPlatform) Hosts(context.Context) ([]keyvalue.ListedHost, error) {
 	mp.me.fl.reads.Add(1)
 	return nil, nil
 }
