--- a/programs/load/site/site.go
+++ b/programs/load/site/site.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -120,8 +121,11 @@
 	}
 	addresses := make([]string, 3)
 	for i := range addresses {
-		if addresses[i], err = freeAddress(); err != nil {
-			return nil, err
+		// A port that was free a moment ago may be given out again.
+		for addresses[i] == "" || slices.Contains(addresses[:i], addresses[i]) {
+			if addresses[i], err = freeAddress(); err != nil {
+				return nil, err
+			}
 		}
 	}
 	de.listen, de.ready = addresses[0], addresses[1]
--- a/programs/load/soak/world.go
+++ b/programs/load/soak/world.go
@@ -41,6 +41,7 @@
 		version int
 		weights int
 		names   map[string]int
+		given   map[string]bool
 	}
 
 	// process is one host, started again whenever it ends.
@@ -60,7 +61,7 @@
 )
 
 func newWorld(ctx context.Context, op options, dir string) (*world, error) {
-	wo := &world{op: op, names: make(map[string]int)}
+	wo := &world{op: op, names: make(map[string]int), given: make(map[string]bool)}
 	var err error
 	if wo.store, err = site.NewStore(); err != nil {
 		return nil, err
@@ -254,12 +255,16 @@
 func (ho *process) prepare(dir string) error {
 	addresses := make([]string, 3)
 	for i := range addresses {
-		ln, err := net.Listen("tcp", net.JoinHostPort(ownLoopback(), "0"))
-		if err != nil {
-			return errors.Wrap(err, "soak: address")
+		// A port that was free a moment ago may be given out again, to another host of this world.
+		for addresses[i] == "" || ho.world.given[addresses[i]] {
+			ln, err := net.Listen("tcp", net.JoinHostPort(ownLoopback(), "0"))
+			if err != nil {
+				return errors.Wrap(err, "soak: address")
+			}
+			addresses[i] = ln.Addr().String()
+			_ = ln.Close()
 		}
-		addresses[i] = ln.Addr().String()
-		_ = ln.Close()
+		ho.world.given[addresses[i]] = true
 	}
 	ho.listen, ho.ready = addresses[0], addresses[1]
 	data, err := json.Marshal(map[string]any{
