entry: answer on open connections for a while after a stop begins

Ruled out: a request cut while it ran; fasthttp waits for those. Change: Shutdown ends each connection with its next answer, and closes idle ones only after Linger (2 s, two health checks), or at once when no connection is open. The test first failed on the old code ("the kept connection is closed").

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -35,7 +36,11 @@
 	defaultWriteLimit  = 10 * time.Second
 	defaultHeartbeat   = 5 * time.Second
 	idleLimit          = time.Minute
-	maxIDBytes         = 64
+	// defaultLinger is two health checks of a balancer that asks once a second.
+	defaultLinger = 2 * time.Second
+	// lingerEvery is how often a server that lingers looks whether a connection is left.
+	lingerEvery = 10 * time.Millisecond
+	maxIDBytes  = 64
 )
 
 type (
@@ -57,6 +62,9 @@
 		WriteLimit time.Duration
 		// Heartbeat is the longest time without a byte in a stream; zero means 5 s.
 		Heartbeat time.Duration
+		// Linger is how long a server that shuts down goes on answering on open connections, so that
+		// a request on its way is not cut; zero means 2 s.
+		Linger time.Duration
 		// TLS, if not nil, is used towards callers.
 		TLS *tls.Config
 	}
@@ -68,8 +76,9 @@
 
 	// Server speaks HTTP to callers.
 	Server struct {
-		opts ServerOptions
-		http *fasthttp.Server
+		opts       ServerOptions
+		http       *fasthttp.Server
+		isStopping atomic.Bool
 	}
 
 	errorBody struct {
@@ -120,6 +129,9 @@
 	if opts.Heartbeat == 0 {
 		opts.Heartbeat = defaultHeartbeat
 	}
+	if opts.Linger == 0 {
+		opts.Linger = defaultLinger
+	}
 	return opts
 }
 
@@ -131,8 +143,18 @@
 	return errors.Wrap(sv.http.Serve(ln), "entry: serve")
 }
 
-// Shutdown stops accepting connections and waits until every request has ended, or ctx ends.
+// Shutdown ends each connection with its next answer, closes those that are idle after Linger, and
+// waits until every request has ended, or ctx ends.
 func (sv *Server) Shutdown(ctx context.Context) error {
+	sv.isStopping.Store(true)
+	linger, cancel := context.WithTimeout(ctx, sv.opts.Linger)
+	defer cancel()
+	for sv.Open() > 0 && linger.Err() == nil {
+		select {
+		case <-linger.Done():
+		case <-sv.opts.Clock.After(lingerEvery):
+		}
+	}
 	return errors.Wrap(sv.http.ShutdownWithContext(ctx), "entry: shutdown")
 }
 
@@ -142,6 +164,9 @@
 func (sv *Server) handle(fc *fasthttp.RequestCtx) {
 	rq := sv.read(fc)
 	fc.Response.Header.Set(headerRequestID, rq.ID)
+	if sv.isStopping.Load() {
+		fc.SetConnectionClose()
+	}
 	path := string(fc.Path())
 	switch {
 	case path == chatPath && fc.IsPost():
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -137,13 +138,14 @@
 		Service: entry.ServiceChain(fx, snapshot, entry.BookOptions{Clock: clk}),
 		Clock:   clk, Meter: meter, Log: lg, BodyLimit: bodyLimit, HeaderLimit: 4096,
 		ReadLimit: 500 * time.Millisecond, WriteLimit: 300 * time.Millisecond, Heartbeat: 50 * time.Millisecond,
+		Linger: 5 * time.Second,
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	fx.address = ln.Addr().String()
 	go func() { _ = fx.server.Serve(ln) }()
 	t.Cleanup(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
 		defer cancel()
 		_ = fx.server.Shutdown(ctx)
 	})
@@ -275,3 +277,36 @@
 	require.NoError(t, conn.Close())
 	require.NoError(t, <-done)
 }
+
+// A stop once closed kept connections at once, and with them requests that crossed it.
+func TestStopAnswersRequestThatCrosses(t *testing.T) {
+	fx := newFixture(t)
+	dial := func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", fx.address)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn, bufio.NewReader(conn)
+	}
+	ask := func(conn net.Conn, br *bufio.Reader) bool {
+		_, err := fmt.Fprintf(conn, "GET /nothing HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		rsp, err := http.ReadResponse(br, nil)
+		require.NoError(t, err, "a request on a kept connection has no answer")
+		_, err = io.Copy(io.Discard, rsp.Body)
+		require.NoError(t, err)
+		return rsp.Close
+	}
+	idle, idleReader := dial()
+	require.False(t, ask(idle, idleReader))
+	busy, busyReader := dial()
+	ended := make(chan error, 1)
+	go func() { ended <- fx.server.Shutdown(context.Background()) }()
+	for !ask(busy, busyReader) {
+	}
+	require.NoError(t, idle.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+	_, err := idleReader.Peek(1)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the kept connection is closed")
+	require.NoError(t, idle.SetReadDeadline(time.Time{}))
+	require.True(t, ask(idle, idleReader))
+	require.NoError(t, <-ended)
+}
