quarantine, gateway, peering: no host sends on a request that has crashed two endpoints

Cause: on the platform's path nothing recognised a request that crashes each endpoint that runs it; each of its repeats, at any host, cost one more. Change: an exchange that breaks while nothing listens at the endpoint any more is a crash under the request; the board counts crashes that happened in turn (endpoints that end at the same moment count once, since a request crashes one after the other), an answered equal request clears it, and digests tell crashes and clearances to all hosts, by zone as loads are. At two crashes a request is refused at once. Ruled out: counting each crash by itself; body-less lookups are equal, and a rack without power would have condemned them all.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -35,6 +35,9 @@
 	// are written meanwhile, because an endpoint may answer before it has read them.
 	writeAtOnce = 2 << 10
 	readerBytes = 8 << 10
+	// refusedWithin bounds asking whether an endpoint still listens; it is far above the round trip
+	// between zones.
+	refusedWithin = 100 * time.Millisecond
 )
 
 type (
@@ -115,6 +118,9 @@
 
 var errFull = errors.New("all connections that this host may open are in use")
 
+// String names one start of an endpoint.
+func (ta Target) String() string { return ta.ID + "@" + strconv.FormatInt(ta.Born, 36) }
+
 // Error names the endpoint and the cause.
 func (e *NotSentError) Error() string {
 	return fmt.Sprintf("attempt: nothing was sent to %s at %s: %v", e.target.ID, e.target.Address, e.cause)
@@ -264,6 +270,18 @@
 	pl.idle = nil
 }
 
+// IsRefused reports whether nothing listens at a target any more, within 100 ms. A target that does
+// not answer counts as listening.
+func (po *Pool) IsRefused(ctx context.Context, target Target) bool {
+	nd := net.Dialer{Timeout: min(refusedWithin, po.opts.DialLimit), KeepAlive: -1}
+	raw, err := nd.DialContext(ctx, "tcp", target.Address)
+	if err == nil {
+		// Nothing was sent on it.
+		_ = raw.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // Drop closes idle connections to endpoints that keep does not want.
 func (po *Pool) Drop(keep func(Target) bool) {
 	po.mu.Lock()
--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/gateway"
+	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/standin/site"
 	"github.com/bergamotway/bergamotway/platform"
@@ -57,7 +58,7 @@
 	lg.SetOutput(io.Discard)
 	gw := gateway.New(gateway.Options{
 		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(ck),
-		Budget: retry.NewWindows(ck, retry.Bound{Window: time.Second}), Log: lg, Meter: meter{}, Zone: "here",
+		Budget: retry.NewWindows(ck, retry.Bound{Window: time.Second}), Board: quarantine.NewBoard(ck), Log: lg, Meter: meter{}, Zone: "here",
 		Hosts: func() int { return 1 }, Weights: func(string) uint64 { return 0 }, Expired: func(string, uint64) bool { return false },
 	})
 	gw.Configure(catalog.New(catalog.Content{
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,6 +14,7 @@
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/placement"
+	"github.com/bergamotway/bergamotway/internal/quarantine"
 )
 
 const (
@@ -49,6 +50,7 @@
 		lastEvent string
 		events    int
 		endpoint  string
+		print     quarantine.Fingerprint
 	}
 
 	// verdict is what to do after an attempt.
@@ -78,6 +80,10 @@
 			fw.expire(last)
 			return
 		}
+		if fw.isCrasher() {
+			fw.refuseCrasher(last)
+			return
+		}
 		pl, ok := fw.choose(left)
 		if !ok {
 			fw.refuse("no-endpoint", last)
@@ -157,6 +163,7 @@
 			gw.opts.Pool.Forget(target)
 		}
 		ti.End(outcome, coldIn)
+		fw.suspect(ctx, target, pl.sent, err)
 		fw.note(pl, "broken", err)
 		if fw.repeats() {
 			return again, err
@@ -193,9 +200,14 @@
 	}
 	ti.End(fw.health(ctx, client, oc), coldIn)
 	if vd != finished {
+		fw.suspect(ctx, target, pl.sent, err)
 		fw.note(pl, "broken", err)
+		return vd, err
+	}
+	if oc == fleet.Good {
+		fw.clear()
 	}
-	return vd, err
+	return vd, nil
 }
 
 // own skips answers on the connection that belong to earlier requests.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/placement"
+	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/retry"
 )
 
@@ -48,8 +49,10 @@
 		Pool   *attempt.Pool
 		Cache  *cachedir.Directory
 		Budget *retry.Windows
-		Log    logrus.FieldLogger
-		Meter  Meter
+		// Board keeps the requests that were running at endpoints that crashed.
+		Board *quarantine.Board
+		Log   logrus.FieldLogger
+		Meter Meter
 		// Zone is the availability zone of this host.
 		Zone string
 		// Policy chooses endpoints.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
 	"github.com/bergamotway/bergamotway/internal/placement"
+	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
 	"github.com/bergamotway/bergamotway/internal/upgrade"
@@ -89,6 +90,7 @@
 		cache    *cachedir.Directory
 		gateway  *gateway.Gateway
 		budget   *retry.Windows
+		board    *quarantine.Board
 		state    *state
 		seat     *leadership.Seat
 		upgrades *upgrade.Controller
@@ -117,6 +119,7 @@
 		fleet: fleet.New(fleet.Options{Clock: ck, Host: st.Name}),
 		pool:  attempt.NewPool(attempt.Options{Clock: ck, Opened: wo.Meter.Opened}),
 		cache: cachedir.New(ck),
+		board: quarantine.NewBoard(ck),
 	}
 	no.hosts.Store(1)
 	no.current.Store(&st)
@@ -141,7 +144,7 @@
 	no.cache.SetPermit(no.mayFetch)
 	no.state.named, no.state.vacant = no.upgrades.Target, no.seat.Vacant
 	no.gateway = gateway.New(gateway.Options{
-		Clock: ck, Codec: wo.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.budget,
+		Clock: ck, Codec: wo.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.budget, Board: no.board,
 		Log: lg.WithField("part", "gateway"), Meter: wo.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		Hosts:   func() int { return int(no.hosts.Load()) },
 		Weights: no.state.weights.wanted,
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -10,6 +10,7 @@
 	"github.com/bergamotway/bergamotway/internal/cachedir"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/peering"
+	"github.com/bergamotway/bergamotway/internal/quarantine"
 )
 
 const (
@@ -41,6 +42,17 @@
 			dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Model: model, Version: version})
 		}
 	}
+	now := no.ck.Now()
+	crashes, cleared := no.board.News()
+	for _, cr := range crashes {
+		dg.Crashes = append(dg.Crashes, peering.Crash{
+			Fingerprint: string(cr.Fingerprint), Crash: cr.ID,
+			AgeMs: now.Sub(cr.At).Milliseconds(), RanMs: cr.At.Sub(cr.Began).Milliseconds(),
+		})
+	}
+	for _, fp := range cleared {
+		dg.Cleared = append(dg.Cleared, string(fp))
+	}
 	return dg
 }
 
@@ -102,6 +114,16 @@
 		}
 		no.fleet.Newer(we.Endpoint, we.Model, we.Version)
 	}
+	for _, cr := range dg.Crashes {
+		at := no.ck.Now().Add(-time.Duration(cr.AgeMs) * time.Millisecond)
+		no.board.Record(quarantine.Report{
+			Fingerprint: quarantine.Fingerprint(cr.Fingerprint), ID: cr.Crash,
+			Began: at.Add(-time.Duration(cr.RanMs) * time.Millisecond), At: at,
+		})
+	}
+	for _, fp := range dg.Cleared {
+		no.board.Forget(quarantine.Fingerprint(fp))
+	}
 	if no.exchange.Follows() {
 		return
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -60,6 +60,15 @@
 		Gone  []string       `json:"g,omitempty"`
 	}
 
+	// Crash says that a request was running when an endpoint crashed, see package quarantine.
+	Crash struct {
+		Fingerprint string `json:"f"`
+		Crash       string `json:"c"`
+		// AgeMs is how long ago that was, RanMs how long the request had been running.
+		AgeMs int64 `json:"a"`
+		RanMs int64 `json:"r"`
+	}
+
 	// Digest is what one host tells the others.
 	Digest struct {
 		// Tier says how it travels, and Zone which zone it sums up.
@@ -79,6 +88,10 @@
 		Down    map[string]int `json:"d,omitempty"`
 		Loads   []Load         `json:"l,omitempty"`
 		Weights []Weights      `json:"w,omitempty"`
+		// Crashes has the requests that were running at crashes lately, and Cleared those that were
+		// answered since, by their fingerprints.
+		Crashes []Crash  `json:"q,omitempty"`
+		Cleared []string `json:"f,omitempty"`
 	}
 
 	// Peer is another host.
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -27,6 +27,8 @@
 	leadsTold = 2
 	// reportAge is after how long a report counts no more.
 	reportAge = 1500 * time.Millisecond
+	// crashesMost bounds the crashes in a digest that sums up others, to about 10 KB.
+	crashesMost = 128
 )
 
 // Tier says how a digest travels.
@@ -53,6 +55,8 @@
 	var out Digest
 	loads := make(map[string]Load)
 	weights := make(map[Weights]bool)
+	crashes := make(map[string]Crash)
+	cleared := make(map[string]bool)
 	out.Hosts = make(map[string]uint64)
 	out.Down = make(map[string]int)
 	for _, dg := range list {
@@ -67,6 +71,12 @@
 		for _, we := range dg.Weights {
 			weights[we] = true
 		}
+		for _, cr := range dg.Crashes {
+			crashes[cr.Fingerprint+cr.Crash] = cr
+		}
+		for _, fp := range dg.Cleared {
+			cleared[fp] = true
+		}
 		for id, count := range dg.Down {
 			out.Down[id] += count
 		}
@@ -83,6 +93,15 @@
 	for we := range weights {
 		out.Weights = append(out.Weights, we)
 	}
+	for _, cr := range crashes {
+		out.Crashes = append(out.Crashes, cr)
+	}
+	// The newest crashes are told first; those left out are told by their own hosts again.
+	slices.SortFunc(out.Crashes, func(a, b Crash) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+	out.Crashes = out.Crashes[:min(len(out.Crashes), crashesMost)]
+	for fp := range cleared {
+		out.Cleared = append(out.Cleared, fp)
+	}
 	return out
 }
 
--- /dev/null
+++ b/internal/quarantine/board_test.go
@@ -0,0 +1,77 @@
+package quarantine_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/quarantine"
+)
+
+const print = quarantine.Fingerprint("print")
+
+// run reports that a request ran from began to at, in milliseconds from start.
+func run(start time.Time, id string, began, at int) quarantine.Report {
+	return quarantine.Report{
+		Fingerprint: print, ID: id,
+		Began: start.Add(time.Duration(began) * time.Millisecond), At: start.Add(time.Duration(at) * time.Millisecond),
+	}
+}
+
+func TestCrashesInTurnRefuse(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	bd := quarantine.NewBoard(ck)
+	require.Equal(t, quarantine.Clear, bd.Standing(print))
+	bd.Record(run(ck.Now(), "a", 0, 40))
+	bd.Record(run(ck.Now(), "a", 0, 40))
+	require.Equal(t, quarantine.Suspected, bd.Standing(print), "two hosts told of one crash")
+	bd.Record(run(ck.Now(), "b", 41, 60))
+	require.Equal(t, quarantine.Refused, bd.Standing(print))
+	ck.Advance(2 * time.Hour)
+	require.Equal(t, quarantine.Clear, bd.Standing(print))
+	require.Zero(t, bd.Size())
+}
+
+// A rack that loses power ends many endpoints at once, and equal lookups with them.
+func TestCrashesAtTheSameTimeCountOnce(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	bd := quarantine.NewBoard(ck)
+	for i, id := range []string{"a", "b", "c", "d"} {
+		bd.Record(run(ck.Now(), id, i, 40+i))
+	}
+	require.Equal(t, quarantine.Suspected, bd.Standing(print))
+}
+
+func TestAnswerClears(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	bd, other := quarantine.NewBoard(ck), quarantine.NewBoard(ck)
+	first := run(ck.Now(), "a", 0, 40)
+	bd.Record(first)
+	other.Record(first)
+	bd.Forget(print)
+	require.Equal(t, quarantine.Clear, bd.Standing(print))
+	crashes, cleared := bd.News()
+	require.Empty(t, crashes)
+	require.Equal(t, []quarantine.Fingerprint{print}, cleared)
+	for _, fp := range cleared {
+		other.Forget(fp)
+	}
+	require.Equal(t, quarantine.Clear, other.Standing(print))
+	bd.Record(first)
+	require.Equal(t, quarantine.Clear, bd.Standing(print), "old news arrive again")
+	bd.Record(run(ck.Now(), "b", 100, 140))
+	require.Equal(t, quarantine.Suspected, bd.Standing(print))
+}
+
+func TestNewsAreToldForAWhile(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	bd := quarantine.NewBoard(ck)
+	bd.Record(run(ck.Now(), "a", -40, 0))
+	crashes, _ := bd.News()
+	require.Len(t, crashes, 1)
+	ck.Advance(2 * time.Second)
+	crashes, _ = bd.News()
+	require.Empty(t, crashes)
+}
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -115,6 +115,8 @@
 	Mute
 	// Unframed ends its answer with the connection.
 	Unframed
+	// Crash ends the endpoint as soon as it has a request.
+	Crash
 )
 
 // NewEndpoint starts an endpoint on loopback.
@@ -263,6 +265,9 @@
 	ep.record(rq, string(body))
 	hd.Set("X-Response-Seal", seal)
 	switch flaw {
+	case Crash:
+		ep.Close()
+		panic(http.ErrAbortHandler)
 	case Reset:
 		panic(http.ErrAbortHandler)
 	case Mute:
