cachedir, node: free the parts of older weights step by step while engines change

Each lower gate made the host that frees wait anew until all had known it for 2.7 s, and the gate went down every 1.3 s: nothing was freed from second 19 to 45, yet the parts behind the gates were not used any more either. Parts with which all conversations begin went with the others, and the gate of a middle version shut while its engines still worked. Ruled out: hosts without knowledge (the share was even over hosts), the store's watch. Change: Descent remembers each step and since when all hosts know it, so that a step settles while later ones are on their way; the 64 most used first parts stay until no engine has the version; a gate counts the engines with its version or an older one, rounded up; a host that does not understand the gates fetches nothing from managed stores. Test: TestGatesSettleWhileTheyGoDown (the old state kept only the newest gate, so that nothing settled before the last step).

--- a/internal/cachedir/cachedir.go
+++ b/internal/cachedir/cachedir.go
@@ -95,6 +95,7 @@
 		permit func() bool
 		news   []News
 		tells  bool
+		uses   map[Part]int
 	}
 
 	// Location is a store that holds a part.
@@ -132,7 +133,7 @@
 
 // New returns a directory without stores.
 func New(ck clock.Clock) *Directory {
-	return &Directory{ck: ck, stores: make(map[string]*store)}
+	return &Directory{ck: ck, stores: make(map[string]*store), uses: make(map[Part]int)}
 }
 
 // Configure sets the stores. What is known of stores that stay is kept.
--- a/internal/cachedir/cachedir_test.go
+++ b/internal/cachedir/cachedir_test.go
@@ -113,8 +113,10 @@
 	}
 	salt := cachedir.Salt("m", 1, "")
 	freed := make(map[string]bool)
+	ga := cachedir.Gates{}
 	for _, gate := range []uint32{cachedir.GateOpen, 50000, 20000, 0} {
-		ga := cachedir.Gates{salt: gate}
+		ga[salt] = ga.Lower(salt, gate, func() []string { return []string{"p7"} })
+		require.Equal(t, gate > 0, ga.Allow(part("p7")), "what many need is kept to the last")
 		di.SetGates(ga)
 		for _, vi := range di.Victims(ga, 1000) {
 			require.Equal(t, large, vi.Address)
@@ -137,6 +139,41 @@
 	require.Len(t, freed, 200)
 }
 
+// While gates went down step by step nothing was freed until the last, and newer weights found the
+// stores full (days with new weights on the grown sites).
+func TestGatesSettleWhileTheyGoDown(t *testing.T) {
+	var de cachedir.Descent
+	salt := cachedir.Salt("m", 1, "")
+	now := time.Unix(1000, 0)
+	const after = 2700 * time.Millisecond
+	for i := range 8 {
+		de.Take(cachedir.Gates{salt: {Open: uint32(8-i) * 8000}}, uint64(10+i))
+		now = now.Add(1300 * time.Millisecond)
+		// All hosts know a step when the next comes.
+		ga, ok := de.Settled(uint64(10+i), now, after)
+		require.Equal(t, i >= 3, ok)
+		if ok {
+			require.Equal(t, uint32(8-(i-3))*8000, ga[salt].Open, "a step that not all know is not used")
+		}
+	}
+	_, last := de.Last()
+	require.Equal(t, uint64(17), last)
+	de.Take(cachedir.Gates{}, 12)
+	_, last = de.Last()
+	require.Equal(t, uint64(17), last, "an older record changes nothing")
+}
+
+func TestHotPartsAreThoseUsedMost(t *testing.T) {
+	di := directory(clockwork.NewFakeClock())
+	for i, id := range []string{"a", "b", "c"} {
+		for range 3 - i {
+			di.Use(part(id))
+		}
+	}
+	require.Equal(t, []string{"a", "b"}, di.Hot(part("a").Salt, 2))
+	require.Empty(t, di.Hot("another", 2))
+}
+
 func TestHostThatIsNotKnownFetchesNothing(t *testing.T) {
 	di := directory(clockwork.NewFakeClock())
 	add(di, large, part("p"))
--- a/internal/cachedir/gate.go
+++ b/internal/cachedir/gate.go
@@ -13,10 +13,17 @@
 const GateOpen = 1 << 16
 
 type (
-	// Gates bound which parts of a salt may be fetched from managed stores: those whose hash is
-	// below the gate. Gates only go down. Once each host has seen a lower gate and the fetches that
-	// began before have ended, the parts above it can be freed, with no list of readers.
-	Gates map[string]uint32
+	// Gate bounds which parts of a salt may be fetched from managed stores: those whose hash is below
+	// Open, and those named in Keep.
+	Gate struct {
+		Open uint32   `json:"open"`
+		Keep []string `json:"keep,omitempty"`
+	}
+
+	// Gates are the gates by salt; salts without a gate are open. Gates only go down, and lose names.
+	// Once each host has seen a lower gate and the fetches that began before have ended, the parts
+	// that it excludes can be freed, with no list of readers.
+	Gates map[string]Gate
 
 	// Victims are the parts of one store that no host fetches any more.
 	Victims struct {
@@ -53,7 +60,24 @@
 // Allow reports whether a part may be fetched.
 func (ga Gates) Allow(pt Part) bool {
 	gate, ok := ga[pt.Salt]
-	return !ok || uint32(rendezvous.Hash(pt.ID)&(GateOpen-1)) < gate
+	return !ok || uint32(rendezvous.Hash(pt.ID)&(GateOpen-1)) < gate.Open || slices.Contains(gate.Keep, pt.ID)
+}
+
+// Lower returns the gate of a salt with the share below open. Names that are kept are chosen once, when
+// the gate first excludes parts; a gate that is shut keeps none.
+func (ga Gates) Lower(salt string, open uint32, keep func() []string) Gate {
+	have, ok := ga[salt]
+	if !ok {
+		have.Open = GateOpen
+	}
+	if have.Open == GateOpen && open < GateOpen {
+		have.Keep = keep()
+	}
+	have.Open = min(have.Open, open)
+	if have.Open == 0 {
+		have.Keep = nil
+	}
+	return have
 }
 
 // SetGates puts gates in force.
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -186,6 +186,10 @@
 	for k, pt := range rq.Parts[:len(rq.Parts)-1] {
 		cp := cachedir.Part{Salt: salt, ID: pt.ID}
 		locs := fw.gw.opts.Cache.Find(cp)
+		wide := k < len(rq.Parts)-2
+		if wide {
+			fw.gw.opts.Cache.Use(cp)
+		}
 		if lo, took, byLink := nearest(locs, ca.Zone, rq.ID, pt.Tokens, en.TokenBytes); len(locs) > 0 && worthFetching(took, pt.Tokens) {
 			fetch[k], fetches = lo.Address, true
 			pl.sources = append(pl.sources, source{Address: lo.Address, Expected: byLink})
@@ -194,7 +198,7 @@
 		} else if version < fw.gw.opts.Weights(rq.Model) {
 			// What is kept of older weights is of no use soon.
 			continue
-		} else if address := fw.gw.opts.Cache.Claim(cp, pt.Tokens, k < len(rq.Parts)-2); address != "" {
+		} else if address := fw.gw.opts.Cache.Claim(cp, pt.Tokens, wide); address != "" {
 			save[k], saves = address, true
 		}
 		fw.gw.opts.Fleet.Used(ca.ID, salt+pt.ID, pt.Tokens, en.CapacityTokens)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -321,19 +321,21 @@
 // mayFetch reports whether the other hosts know of this one, so that what it fetches is not freed
 // meanwhile. It must have seen its own item, and with it all gates from before.
 func (no *Node) mayFetch() bool {
-	return int64(clock.Boot()) < no.registered.Load() && no.state.knows(no.st.Name)
+	return int64(clock.Boot()) < no.registered.Load() && no.state.knows(no.st.Name) && !no.reclaim.isUnreadable()
 }
 
-// allSeen reports whether each host that is registered knows all changes up to a revision.
-func (no *Node) allSeen(revision uint64) bool {
+// knownToAll returns the revision of the metadata store up to which each registered host knows all
+// changes.
+func (no *Node) knownToAll() uint64 {
 	no.mu.Lock()
 	defer no.mu.Unlock()
+	known := no.state.seen.Load()
 	for _, name := range no.state.names() {
-		if name != no.st.Name && no.seen[name] < revision {
-			return false
+		if name != no.st.Name {
+			known = min(known, no.seen[name])
 		}
 	}
-	return no.state.seen.Load() >= revision
+	return known
 }
 
 // sweep drops connections to endpoints that are gone.
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -25,6 +25,9 @@
 	victimsMost = 600
 	// gateSteps is in how many steps a gate goes down while the engines change their weights.
 	gateSteps = 8
+	// hotMost bounds the parts that are kept for as long as an engine has the version, since many
+	// conversations begin with them.
+	hotMost = 64
 )
 
 // reclaim makes room in managed cache stores: parts of older weights are given up as the engines
@@ -35,25 +38,36 @@
 type reclaim struct {
 	no *Node
 
-	mu       sync.Mutex
-	gates    cachedir.Gates
-	revision uint64
-	passed   time.Time
+	mu      sync.Mutex
+	descent cachedir.Descent
+	// unreadable reports gates that this host does not understand, and so cannot keep to.
+	unreadable bool
 }
 
 // take takes the gates from the metadata store.
 func (re *reclaim) take(it metastore.Item) {
 	var ga cachedir.Gates
-	if err := json.Unmarshal(it.Value, &ga); err != nil {
-		re.no.log.WithField("cause", err.Error()).Error("Gates of the cache are not usable.")
-		return
-	}
+	err := json.Unmarshal(it.Value, &ga)
 	re.mu.Lock()
-	re.gates, re.revision, re.passed = ga, it.Revision, time.Time{}
+	re.unreadable = err != nil
+	if err == nil {
+		re.descent.Take(ga, it.Revision)
+	}
 	re.mu.Unlock()
+	if err != nil {
+		re.no.log.WithField("cause", err.Error()).Error("Gates of the cache are not usable; nothing is fetched from managed stores.")
+		return
+	}
 	re.no.cache.SetGates(ga)
 }
 
+// isUnreadable reports whether the newest gates could not be read.
+func (re *reclaim) isUnreadable() bool {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.unreadable
+}
+
 func (re *reclaim) run(ctx context.Context) {
 	for {
 		select {
@@ -78,7 +92,7 @@
 		return
 	}
 	re.mu.Lock()
-	have, revision := re.gates, re.revision
+	have, revision := re.descent.Last()
 	re.mu.Unlock()
 	next := make(cachedir.Gates, len(have))
 	maps.Copy(next, have)
@@ -87,12 +101,9 @@
 		if !ok || version >= re.no.state.weights.wanted(model) {
 			continue
 		}
-		gate := re.share(model, version)
-		if now, ok := next[salt]; !ok || gate < now {
-			next[salt] = gate
-		}
+		next[salt] = next.Lower(salt, re.share(model, version), func() []string { return re.no.cache.Hot(salt, hotMost) })
 	}
-	if maps.Equal(next, have) {
+	if maps.EqualFunc(next, have, func(a, b cachedir.Gate) bool { return a.Open == b.Open }) {
 		return
 	}
 	value, err := json.Marshal(next)
@@ -108,7 +119,8 @@
 	}
 }
 
-// share returns the gate of a version: open as far as engines still have it, in steps.
+// share returns the gate of a version, in steps: open as far as engines have that version or one before
+// it. Those before are brought up first, so that the engines with this version still need as much.
 func (re *reclaim) share(model string, version uint64) uint32 {
 	with, all := 0, 0
 	for _, vw := range re.no.fleet.All() {
@@ -117,31 +129,22 @@
 			continue
 		}
 		all++
-		if have == version {
+		if have <= version {
 			with++
 		}
 	}
 	if all == 0 {
 		return cachedir.GateOpen
 	}
-	return uint32(with*gateSteps/all) * cachedir.GateOpen / gateSteps
+	return uint32((with*gateSteps+all-1)/all) * cachedir.GateOpen / gateSteps
 }
 
-// settled returns the gates once all hosts have seen them and fetches from before have ended.
+// settled returns the lowest gates that all hosts have seen and that no fetch from before passes.
 func (re *reclaim) settled() (cachedir.Gates, bool) {
+	known := re.no.knownToAll()
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	if re.revision == 0 {
-		return nil, false
-	}
-	now := re.no.ck.Now()
-	if re.passed.IsZero() {
-		if !re.no.allSeen(re.revision) {
-			return nil, false
-		}
-		re.passed = now
-	}
-	return re.gates, now.Sub(re.passed) >= fetchesEnd
+	return re.descent.Settled(known, re.no.ck.Now(), fetchesEnd)
 }
 
 func (re *reclaim) free(ctx context.Context, ga cachedir.Gates) {
