peering, fleet: loads of other hosts are known within a tenth of a second, and rejections at once

Cause: of 75 hosts each knew the load of engines as it was 250 ms before, since a digest passes three hosts with 160 ms each. All sent to the engines that were idle then: an engine believed to have 9 requests had 20 and more, engines filled and emptied by turns about once a second (correlation of believed and real load 0.35; 0.83 with the load of 250 ms before), and p95 of the first token was 900 ms with half of all slots free. After a loss of power no host knew which engines took weights, and each tried all of them (2,700 rejections in 4 s). Ruled out: lost datagrams and the estimate itself; with the real load at hand it is near. Engines that reject are told like those that do not answer.

--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -64,6 +64,7 @@
 		own       Load
 		peers     map[string]peerLoad
 		avoid     time.Time
+		shunned   time.Time
 		backoff   time.Duration
 		failures  float64
 		coldUntil time.Time
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -181,13 +181,13 @@
 	fl.evacuated = maps.Clone(zones)
 }
 
-// PeerLoads records the loads that a peer has under way, by the identifier of the endpoint.
-func (fl *Fleet) PeerLoads(peer string, loads map[string]Load) {
+// PeerLoads records the loads that a peer has under way at each endpoint; ok is false where it has none.
+func (fl *Fleet) PeerLoads(peer string, of func(id string) (ld Load, ok bool)) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
 	for id, ep := range fl.endpoints {
-		ld, ok := loads[id]
+		ld, ok := of(id)
 		if !ok {
 			delete(ep.peers, peer)
 			continue
@@ -220,14 +220,15 @@
 	})
 }
 
-// Down returns the endpoints that this host cannot reach now.
+// Down returns the endpoints that this host cannot reach now, and the engines that have rejected its
+// requests a moment ago: those take new weights, mostly, and reject all until they have them.
 func (fl *Fleet) Down() map[string]int {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
 	out := make(map[string]int)
 	for id, ep := range fl.endpoints {
-		if ep.backoff > 0 && now.Before(ep.avoid) {
+		if ep.backoff > 0 && now.Before(ep.avoid) || len(ep.entry.Models) > 0 && now.Before(ep.shunned) {
 			out[id] = 1
 		}
 	}
@@ -328,7 +329,8 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	if ep := fl.endpoints[id]; ep != nil {
-		ep.avoid = later(ep.avoid, fl.opts.Clock.Now().Add(d))
+		ep.shunned = fl.opts.Clock.Now().Add(d)
+		ep.avoid = later(ep.avoid, ep.shunned)
 	}
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -123,6 +123,23 @@
 	require.True(t, fl.All()[0].Avoid)
 }
 
+// After a loss of power no host knew which engines were taking weights, and each tried all of them
+// (hartlebury-edge-grown trouble-2).
+func TestEngineThatRejectsIsTold(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	engine, plain := entry("engine"), entry("plain")
+	plain.Models = nil
+	fl.Put(engine)
+	fl.Put(plain)
+	fl.Shun("engine", 400*time.Millisecond)
+	fl.Shun("plain", 400*time.Millisecond)
+	require.Equal(t, map[string]int{"engine": 1}, fl.Down(), "a plain endpoint is full for a moment")
+	fl.PeerDown(map[string]int{"engine": 2})
+	ck.Advance(401 * time.Millisecond)
+	require.Empty(t, fl.Down(), "what others tell is not told on")
+}
+
 func TestSampleStaysNearWithOneAway(t *testing.T) {
 	fl := fleet.New(fleet.Options{Host: "host"})
 	for i := range 60 {
@@ -149,7 +166,7 @@
 	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
 	fl.Put(entry("a"))
 	ti := fl.Begin("a", fleet.Load{Requests: 1, Tokens: 10, Unread: 5}, 0)
-	fl.PeerLoads("peer", map[string]fleet.Load{"a": {Requests: 2, Tokens: 20}})
+	fl.PeerLoads("peer", func(id string) (fleet.Load, bool) { return fleet.Load{Requests: 2, Tokens: 20}, id == "a" })
 	require.Equal(t, fleet.Load{Requests: 3, Tokens: 30, Unread: 5}, fl.All()[0].Sum())
 	ti.Read()
 	ti.Read()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -168,7 +168,7 @@
 func (no *Node) listen() error {
 	var err error
 	if no.exchange, err = peering.Listen(no.st.PeerListen, peering.Peer{
-		Name: no.st.Name, Zone: no.st.Zone, Weight: no.st.Weight,
+		Name: no.st.Name, Zone: no.st.Zone, Weight: no.st.Weight, LinkMbps: no.st.LinkMbps,
 	}, no.ck); err != nil {
 		return err
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -27,6 +27,9 @@
 		// Weight is the strength of the host, such as its share of a core; strong hosts do more for
 		// the others.
 		Weight float64 `json:"weight" min:"0" max:"1000"`
+		// LinkMbps is the host's link, in Mbit/s, of which knowledge between hosts takes a bounded part;
+		// zero means 1,000.
+		LinkMbps float64 `json:"link-mbps" min:"0" max:"1000000"`
 		// LogLevel is the least level that is logged; empty means info.
 		LogLevel string `json:"log-level" one-of:"debug info warning error"`
 		// Placement is how endpoints are chosen; empty means by estimate. The others are baselines.
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -32,7 +32,7 @@
 	no := (*Node)(so)
 	dg := peering.Digest{Host: no.st.Name, Seen: no.state.seen.Load(), Down: no.fleet.Down()}
 	for id, ld := range no.fleet.OwnLoads() {
-		dg.Loads = append(dg.Loads, peering.Load{Endpoint: id, Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
+		dg.Loads = append(dg.Loads, peering.Load{Endpoint: peering.KeyOf(id), Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
 	}
 	for _, id := range no.upgrades.Loading() {
 		dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Loading: true})
@@ -89,7 +89,7 @@
 // Receive takes what peers know.
 func (so *source) Receive(dg peering.Digest) {
 	no := (*Node)(so)
-	loads := make(map[string]fleet.Load, len(dg.Loads))
+	loads := make(map[peering.Key]fleet.Load, len(dg.Loads))
 	for _, ld := range dg.Loads {
 		loads[ld.Endpoint] = fleet.Load{Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread}
 	}
@@ -97,7 +97,10 @@
 	if dg.Tier != peering.Direct {
 		from = "total"
 	}
-	no.fleet.PeerLoads(from, loads)
+	no.fleet.PeerLoads(from, func(id string) (fleet.Load, bool) {
+		ld, ok := loads[peering.KeyOf(id)]
+		return ld, ok
+	})
 	no.fleet.PeerDown(dg.Down)
 	no.mu.Lock()
 	if dg.Tier == peering.Direct {
--- /dev/null
+++ b/internal/peering/load_test.go
@@ -0,0 +1,62 @@
+package peering_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/bergamotway/bergamotway/internal/peering"
+)
+
+func TestLoadsTravelUnchanged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var ls peering.Loads
+		for range rapid.IntRange(0, 40).Draw(t, "count") {
+			ls = append(ls, peering.Load{
+				Endpoint: peering.Key(rapid.Uint32().Draw(t, "key")),
+				Requests: rapid.IntRange(0, 1000).Draw(t, "requests"),
+				Tokens:   rapid.IntRange(0, 1<<30).Draw(t, "tokens"),
+				Unread:   rapid.IntRange(0, 1<<20).Draw(t, "unread"),
+			})
+		}
+		data, err := json.Marshal(peering.Digest{Host: "h", Loads: ls})
+		require.NoError(t, err)
+		var dg peering.Digest
+		require.NoError(t, json.Unmarshal(data, &dg))
+		require.Equal(t, ls, dg.Loads)
+	})
+}
+
+// A digest of 640 endpoints must fit into a datagram with room for the rest.
+func TestLoadsAreShort(t *testing.T) {
+	var ls peering.Loads
+	for i := range 640 {
+		ls = append(ls, peering.Load{Endpoint: peering.Key(i * 7919), Requests: 12, Tokens: 48000, Unread: 9000})
+	}
+	text, err := ls.MarshalText()
+	require.NoError(t, err)
+	require.Less(t, len(text), 640*16)
+}
+
+func FuzzLoads(f *testing.F) {
+	text, err := peering.Loads{{Endpoint: 1, Requests: 2, Tokens: 3, Unread: 4}}.MarshalText()
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add([]byte("AAAA"))
+	f.Add([]byte("/////////////////////w"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var ls peering.Loads
+		if err := ls.UnmarshalText(text); err != nil {
+			var le *peering.LoadsError
+			require.ErrorAs(t, err, &le)
+			return
+		}
+		again, err := ls.MarshalText()
+		require.NoError(t, err)
+		var other peering.Loads
+		require.NoError(t, other.UnmarshalText(again))
+		require.Equal(t, ls, other)
+	})
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -16,26 +16,24 @@
 )
 
 const (
-	// every is the pause between two digests. Endpoints run a request for some 300 ms, so that
-	// older digests would say little.
-	every = 100 * time.Millisecond
-	// everyTier is the pause where leads sum up, which many hosts receive.
-	everyTier = 160 * time.Millisecond
-	// everyWeak is the pause of a lead with a weak link, which may not carry more.
-	everyWeak = time.Second
+	// every is the least pause between two digests. Endpoints get a request every 100 ms or so; hosts
+	// that see loads as they were 250 ms ago all send to the endpoints that were idle then.
+	every = 40 * time.Millisecond
+	// everyTier is the least pause where leads sum up, since a digest passes three hosts then.
+	everyTier = 30 * time.Millisecond
+	// linkShare is the part of a lead's link that its digests may take; a lead with more hosts or a
+	// weaker link pauses longer.
+	linkShare = 0.15
+	// everyMost bounds that pause.
+	everyMost = 800 * time.Millisecond
+	// defaultLinkMbps is the link of a host that does not say.
+	defaultLinkMbps = 1000
+	bytesPerMbit    = 1e6 / 8
 	// digestBytes bounds a datagram.
 	digestBytes = 60 << 10
 )
 
 type (
-	// Load is the load of one host at one endpoint.
-	Load struct {
-		Endpoint string `json:"e"`
-		Requests int    `json:"r"`
-		Tokens   int    `json:"t,omitempty"`
-		Unread   int    `json:"u,omitempty"`
-	}
-
 	// Weights is the version that an endpoint has, or takes now.
 	Weights struct {
 		Endpoint string `json:"e"`
@@ -80,13 +78,16 @@
 		Stores []Store `json:"k,omitempty"`
 		Cache  []Parts `json:"p,omitempty"`
 
+		// PauseMs is the pause of a lead, which the hosts that report to it keep as well.
+		PauseMs int64 `json:"b,omitempty"`
+
 		Host   string `json:"h"`
 		Number uint64 `json:"n"`
 		// Seen is the revision of the metadata store up to which the host knows all changes.
 		Seen uint64 `json:"s,omitempty"`
 		// Down counts the hosts that cannot reach an endpoint now, by its identifier.
 		Down    map[string]int `json:"d,omitempty"`
-		Loads   []Load         `json:"l,omitempty"`
+		Loads   Loads          `json:"l,omitempty"`
 		Weights []Weights      `json:"w,omitempty"`
 		// Crashes has the requests that were running at crashes lately, and Cleared those that were
 		// answered since, by their fingerprints.
@@ -101,6 +102,8 @@
 		Address netip.AddrPort
 		// Weight is the strength of the host; strong hosts lead.
 		Weight float64
+		// LinkMbps is the host's own link, needed for this host only; zero means 1,000.
+		LinkMbps float64
 	}
 
 	// Source is what an exchange asks of its host. Its methods are called from one goroutine.
@@ -129,7 +132,8 @@
 		last      map[string]uint64
 		reports   map[string]received
 		zones     map[string]received
-		sent      []Load
+		sent      Loads
+		pause     time.Duration
 		leadHeard time.Time
 		lead      string
 		rounds    int
@@ -196,15 +200,8 @@
 	// Numbers begin at the time of day, so that those of a host that starts anew go on.
 	number := uint64(ex.ck.Now().UnixMilli())
 	for {
-		pause := every
 		ex.mu.Lock()
-		if !ex.isFlat() {
-			pause = everyTier
-			if ex.isLead() && !ex.isStrong() {
-				pause = everyWeak
-			}
-		}
-		alone := len(ex.peers) == 0
+		pause, alone := ex.pace(), len(ex.peers) == 0
 		ex.mu.Unlock()
 		select {
 		case <-ctx.Done():
@@ -218,6 +215,7 @@
 		if local != nil {
 			host.Receive(*local)
 		}
+		sent := 0
 		for _, og := range out {
 			number++
 			og.digest.Number = number
@@ -225,11 +223,13 @@
 			if err != nil || len(data) > digestBytes {
 				continue
 			}
+			sent += len(data) * len(og.peers)
 			for _, pe := range og.peers {
 				// A peer that cannot be reached gets the next digest.
 				_, _ = ex.conn.WriteToUDPAddrPort(data, pe.Address)
 			}
 		}
+		ex.spent(sent)
 	}
 }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -19,6 +19,8 @@
 	tick     = 10 * time.Millisecond
 )
 
+var engine = peering.KeyOf("engine")
+
 // host is one host of a test, with one request under way at one endpoint.
 type host struct {
 	name     string
@@ -26,12 +28,12 @@
 	cancel   context.CancelFunc
 
 	mu    sync.Mutex
-	loads map[string]map[string]int
+	loads map[string]map[peering.Key]int
 	seen  map[string]uint64
 }
 
 func (ho *host) Compose() peering.Digest {
-	return peering.Digest{Host: ho.name, Seen: 7, Loads: []peering.Load{{Endpoint: "engine", Requests: 1}}}
+	return peering.Digest{Host: ho.name, Seen: 7, Loads: peering.Loads{{Endpoint: engine, Requests: 1}}}
 }
 
 func (ho *host) News() peering.Digest { return peering.Digest{} }
@@ -47,7 +49,7 @@
 	for name, seen := range dg.Hosts {
 		ho.seen[name] = seen
 	}
-	ho.loads[from] = make(map[string]int)
+	ho.loads[from] = make(map[peering.Key]int)
 	for _, ld := range dg.Loads {
 		ho.loads[from][ld.Endpoint] = ld.Requests
 	}
@@ -58,7 +60,7 @@
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 	for _, loads := range ho.loads {
-		requests += loads["engine"]
+		requests += loads[engine]
 	}
 	for name := range ho.seen {
 		if name != ho.name {
@@ -81,7 +83,7 @@
 		require.NoError(t, err)
 		pe.Address = netip.MustParseAddrPort(ex.Address())
 		peers[i] = pe
-		hosts[i] = &host{name: pe.Name, exchange: ex, loads: make(map[string]map[string]int), seen: make(map[string]uint64)}
+		hosts[i] = &host{name: pe.Name, exchange: ex, loads: make(map[string]map[peering.Key]int), seen: make(map[string]uint64)}
 	}
 	for i, ho := range hosts {
 		var others []peering.Peer
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -21,8 +21,10 @@
 	// weakSilence how long a zone does without a lead before a weaker host leads, more slowly.
 	strongShare = 0.5
 	weakSilence = 4 * time.Second
-	// hostsEach is in how many digests of a lead the hosts that it sums up are named once.
-	hostsEach = 4
+	// hostsEach and statesEach are in how many digests of a lead the hosts that it sums up, and the
+	// states of engines and cache stores, are told once.
+	hostsEach  = 20
+	statesEach = 4
 	// leadsTold is how many hosts of each zone are told, in case the first does not lead.
 	leadsTold = 2
 	// reportAge is after how long a report counts no more.
@@ -53,7 +55,7 @@
 // merge sums up digests.
 func merge(list ...Digest) Digest {
 	var out Digest
-	loads := make(map[string]Load)
+	loads := make(map[Key]Load)
 	weights := make(map[Weights]bool)
 	crashes := make(map[string]Crash)
 	cleared := make(map[string]bool)
@@ -106,12 +108,12 @@
 }
 
 // subtract returns loads without a host's own part of them.
-func subtract(loads, own []Load) []Load {
-	mine := make(map[string]Load, len(own))
+func subtract(loads, own Loads) Loads {
+	mine := make(map[Key]Load, len(own))
 	for _, ld := range own {
 		mine[ld.Endpoint] = ld
 	}
-	out := make([]Load, 0, len(loads))
+	out := make(Loads, 0, len(loads))
 	for _, ld := range loads {
 		me := mine[ld.Endpoint]
 		out = append(out, Load{
@@ -180,6 +182,29 @@
 	return rank == 0 || ex.ck.Now().Sub(ex.leadHeard) > silence
 }
 
+// pace returns the pause before the next digest.
+func (ex *Exchange) pace() time.Duration {
+	if ex.isFlat() {
+		return max(every, min(ex.pause, everyMost))
+	}
+	return max(everyTier, min(ex.pause, everyMost))
+}
+
+// spent sets the pause after a round of digests so that they take no more than their part of the
+// link. Hosts that report keep the pause of their lead.
+func (ex *Exchange) spent(bytes int) {
+	ex.mu.Lock()
+	defer ex.mu.Unlock()
+	mbps := ex.self.LinkMbps
+	if mbps == 0 {
+		mbps = defaultLinkMbps
+	}
+	pause := time.Duration(float64(bytes) / (linkShare * mbps * bytesPerMbit) * float64(time.Second))
+	if ex.isFlat() || ex.isLead() {
+		ex.pause = pause
+	}
+}
+
 // targets returns what is sent in one round: the digest for each set of peers.
 func (ex *Exchange) targets(own Digest, news func() Digest) (out []outgoing, local *Digest) {
 	ex.mu.Lock()
@@ -229,16 +254,19 @@
 		all = append(all, re.digest)
 	}
 	total := merge(all...)
-	total.Host, total.Tier = ex.self.Name, Total
+	total.Host, total.Tier, total.PauseMs = ex.self.Name, Total, ex.pace().Milliseconds()
 	if ex.isStrong() {
 		added := news()
 		total.Stores, total.Cache = added.Stores, added.Cache
 	}
-	known := total.Hosts
+	known, weights := total.Hosts, total.Weights
 	ex.rounds++
 	if ex.rounds%hostsEach != 0 {
 		total.Hosts = nil
 	}
+	if ex.rounds%statesEach != 0 {
+		total.Weights, total.Stores = nil, nil
+	}
 	members := make([]Peer, 0, len(zone))
 	for _, pe := range zone {
 		if pe.Name != ex.self.Name {
@@ -246,7 +274,7 @@
 		}
 	}
 	at := total
-	at.Hosts = known
+	at.Hosts, at.Weights = known, weights
 	at.Loads = subtract(total.Loads, own.Loads)
 	at.Stores, at.Cache = nil, nil
 	return []outgoing{{digest: mine, peers: others}, {digest: total, peers: members}}, &at
@@ -269,6 +297,7 @@
 		from := slices.IndexFunc(zone, func(pe Peer) bool { return pe.Name == dg.Host })
 		if from >= 0 && from < rank {
 			ex.leadHeard, ex.lead = now, dg.Host
+			ex.pause = time.Duration(dg.PauseMs) * time.Millisecond
 		}
 		dg.Loads = subtract(dg.Loads, ex.sent)
 		return dg, true
