gateway, placement: the estimate counts shared memory once and full slots as soon free

It had been set when loads were known 250 ms late. Ruled out: reading, which is estimated well. Change: what many conversations begin with takes an engine's memory once, so requests do not count it; a full engine's slot is free after 50 ms.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -120,8 +120,15 @@
 	return rq.Parts[len(rq.Parts)-2].ID
 }
 
-// tokens returns the memory that the request takes at an engine.
-func (rq *Request) tokens() int { return rq.PromptTokens + rq.OutputTokens }
+// tokens returns the memory that the request takes at an engine for itself. Parts with which many
+// conversations begin are there once for all of them.
+func (rq *Request) tokens() int {
+	own := rq.PromptTokens + rq.OutputTokens
+	for k := range max(0, len(rq.Parts)-2) {
+		own -= rq.Parts[k].Tokens
+	}
+	return max(0, own)
+}
 
 // urgency returns the rank of the request; teams go before routes.
 func (rq *Request) urgency() int {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -37,10 +37,11 @@
 	// is asked for beyond what is there, in milliseconds.
 	overflow = 1200.0
 	// slotWait is how long a request waits at an engine of which the last slot is taken, in
-	// milliseconds; slotPower and slotExcess say how that falls below and grows beyond.
-	slotWait   = 120.0
+	// milliseconds; slotPower and slotExcess say how that falls below and grows beyond. Requests stay
+	// for some 600 ms, so that one of 12 slots is free again after 50.
+	slotWait   = 40.0
 	slotPower  = 6
-	slotExcess = 5
+	slotExcess = 15
 	// memoryPrice weighs the time for which a request takes memory from others, at a full engine.
 	memoryPrice = 2.0
 	// memoryFull is the share of an engine's memory from which requests wait.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -159,3 +159,17 @@
 	require.Equal(t, first, again)
 	require.Equal(t, placement.Estimate, placement.ParsePolicy(""))
 }
+
+// A full engine frees one of its 12 slots within some 50 ms; estimates of 200 ms and more refused
+// requests that would have been on time.
+func TestSlotOfAFullEngineIsSoonFree(t *testing.T) {
+	const target = 400 * time.Millisecond
+	full := engine("full", 2, fleet.Load{Requests: 15, Tokens: 20000})
+	full.Slots, full.Read = 12, 9000
+	ch, ok := placement.Choose(job(), []placement.Candidate{full})
+	require.True(t, ok)
+	require.False(t, placement.Overdue(ch.Estimate, target, time.Second))
+	full.Peers.Requests = 12
+	ch, _ = placement.Choose(job(), []placement.Candidate{full})
+	require.True(t, placement.Overdue(ch.Estimate, target, time.Second), "a queue as long as the engine has slots")
+}
