cachedir, gateway: fetches of all hosts from a store's link are counted

Ruled out: slow stores, which Observe notices. Change: each host counts what its fetches still have to get, evenly over the time expected, digests tell it, and a fetch is taken to wait for it; requests log what was queued. Test: TestFetchesOfAllHostsAreCounted.

--- a/internal/cachedir/cachedir.go
+++ b/internal/cachedir/cachedir.go
@@ -105,6 +105,8 @@
 		Clock int64
 		// Slow is how much longer than by its link transfers take lately, at least 1.
 		Slow float64
+		// Queued is how many tokens all hosts still have to get from it.
+		Queued int
 	}
 
 	store struct {
@@ -123,6 +125,8 @@
 		heard        time.Time
 		slow         float64
 		slowAt       time.Time
+		own          []transfer
+		peers        map[string]peerTransfers
 	}
 
 	saving struct {
@@ -224,6 +228,7 @@
 		if _, ok := so.parts[pt]; ok && so.synced && so.clock > 0 && now.Sub(so.heard) < heardMost {
 			out = append(out, Location{
 				CacheStore: so.info, Clock: so.clock + now.Sub(so.heard).Milliseconds(), Slow: so.slowness(now),
+				Queued: so.queued(now),
 			})
 		}
 	}
--- a/internal/cachedir/cachedir_test.go
+++ b/internal/cachedir/cachedir_test.go
@@ -174,6 +174,29 @@
 	require.Empty(t, di.Hot("another", 2))
 }
 
+// Hosts that did not know each other's fetches met at the same store's link, whose transfers run one
+// after another (first tokens 200 ms late on the grown sites).
+func TestFetchesOfAllHostsAreCounted(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	di := directory(ck)
+	add(di, large, part("p"))
+	di.Begin(large, 5000, 20*time.Millisecond)
+	di.PeerTransfers("peer", func(address string) int {
+		if address == large {
+			return 7000
+		}
+		return 0
+	})
+	require.Equal(t, 12000, di.Find(part("p"))[0].Queued)
+	require.Equal(t, map[string]int{large: 5000}, di.Transfers(), "what others tell is not told on")
+	ck.Advance(10 * time.Millisecond)
+	require.Equal(t, 9500, di.Find(part("p"))[0].Queued, "half of the own fetch is there")
+	ck.Advance(11 * time.Millisecond)
+	require.Equal(t, 7000, di.Find(part("p"))[0].Queued, "the own fetch has ended")
+	di.PeerTransfers("peer", func(string) int { return 0 })
+	require.Zero(t, di.Find(part("p"))[0].Queued)
+}
+
 func TestHostThatIsNotKnownFetchesNothing(t *testing.T) {
 	di := directory(clockwork.NewFakeClock())
 	add(di, large, part("p"))
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -126,6 +126,7 @@
 	fw.endpoint = pl.view.ID
 	gw.opts.Meter.Dispatched(rq.route.Name)
 	pl.sent = gw.opts.Clock.Now()
+	fw.beginFetch(pl)
 	pl.delivery.Left = rq.until.Sub(gw.opts.Clock.Now())
 	pl.delivery.LastEvent = fw.lastEvent
 	target := attempt.Target{ID: pl.view.ID, Address: pl.view.Address, Born: pl.view.Born}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -49,10 +49,14 @@
 	first    time.Duration
 }
 
-// source is a store from which parts are fetched, with the time that this should take by its link.
+// source is a store from which a part is fetched, with the time that this should take by its link and
+// what waits there, and as transfers go lately.
 type source struct {
 	Address  string        `json:"address"`
+	Tokens   int           `json:"tokens"`
+	Queued   int           `json:"queued"`
 	Expected time.Duration `json:"-"`
+	Took     time.Duration `json:"-"`
 }
 
 func (pl plan) fields() logrus.Fields {
@@ -192,7 +196,9 @@
 		}
 		if lo, took, byLink := nearest(locs, ca.Zone, rq.ID, pt.Tokens, en.TokenBytes); len(locs) > 0 && worthFetching(took, pt.Tokens) {
 			fetch[k], fetches = lo.Address, true
-			pl.sources = append(pl.sources, source{Address: lo.Address, Expected: byLink})
+			pl.sources = append(pl.sources, source{
+				Address: lo.Address, Tokens: pt.Tokens, Queued: lo.Queued, Expected: byLink, Took: took,
+			})
 			expected += took
 			now = lo.Clock
 		} else if version < fw.gw.opts.Weights(rq.Model) {
@@ -223,17 +229,19 @@
 }
 
 // nearest returns the store from which a part is fetched soonest, how long that takes lately, and
-// how long it should take by the link alone.
+// how long it should take by the link and what waits for it. A store's transfers run one after another.
 //
 // Equal stores are taken by the identifier of the request, so that all links carry their part.
 func nearest(locs []cachedir.Location, zone, request string, tokens, tokenBytes int) (best cachedir.Location, least, byLink time.Duration) {
 	var chosen uint64
 	key := rendezvous.Hash(request)
 	for i, lo := range locs {
-		seconds := float64(tokens) * float64(tokenBytes) * bitsPerByte / (lo.LinkMbps * 1e6)
+		each := float64(tokenBytes) * bitsPerByte / (lo.LinkMbps * 1e6)
+		seconds := float64(tokens) * each
 		if lo.Zone != zone {
 			seconds *= crossZoneFactor
 		}
+		seconds += float64(lo.Queued) * each
 		plain := lo.Setup + time.Duration(seconds*float64(time.Second))
 		took := time.Duration(float64(plain) * lo.Slow)
 		score := uint64(0)
@@ -253,6 +261,15 @@
 	return took <= fetchPatience*read+fetchSlack
 }
 
+// beginFetch counts the transfers that a request asks for.
+func (fw *forwarding) beginFetch(pl plan) {
+	var ahead time.Duration
+	for _, so := range pl.sources {
+		ahead += so.Took
+		fw.gw.opts.Cache.Begin(so.Address, so.Tokens, ahead)
+	}
+}
+
 // observe learns from the time to the first token how long the stores took.
 func (fw *forwarding) observe(pl plan) {
 	var expected time.Duration
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -34,6 +34,9 @@
 	for id, ld := range no.fleet.OwnLoads() {
 		dg.Loads = append(dg.Loads, peering.Load{Endpoint: peering.KeyOf(id), Requests: ld.Requests, Tokens: ld.Tokens, Unread: ld.Unread})
 	}
+	for address, tokens := range no.cache.Transfers() {
+		dg.Loads = append(dg.Loads, peering.Load{Endpoint: peering.KeyOf(address), Tokens: tokens})
+	}
 	for _, id := range no.upgrades.Loading() {
 		dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Loading: true})
 	}
@@ -101,6 +104,7 @@
 		ld, ok := loads[peering.KeyOf(id)]
 		return ld, ok
 	})
+	no.cache.PeerTransfers(from, func(address string) int { return loads[peering.KeyOf(address)].Tokens })
 	no.fleet.PeerDown(dg.Down)
 	no.mu.Lock()
 	if dg.Tier == peering.Direct {
