peering, cachedir, node: hosts that the metadata store has lost are told as before and go on fetching

Cause: a host that is cut from the metadata store is not registered any more after 8 s, though its peers reach it. Ruled out: a longer lease, which holds up freeing after each host that died. Tests: TestHostThatTheStoreHasLostIsStillTold (failed before), TestPassEndsWithSilenceOrNewerGates, TestClockIsThatOfTheNewestWord.

--- a/internal/cachedir/cachedir.go
+++ b/internal/cachedir/cachedir.go
@@ -92,7 +92,7 @@
 		mu     sync.Mutex
 		stores map[string]*store
 		gates  Gates
-		permit func() bool
+		permit func(clock int64) bool
 		news   []News
 		tells  bool
 		uses   map[Part]int
@@ -220,14 +220,15 @@
 	defer di.mu.Unlock()
 	var out []Location
 	now := di.ck.Now()
-	allowed := di.gates.Allow(pt) && (di.permit == nil || di.permit())
+	allowed := di.gates.Allow(pt)
 	for _, so := range di.stores {
-		if so.info.Managed && !allowed {
+		if _, ok := so.parts[pt]; !ok || !so.synced {
 			continue
 		}
-		if _, ok := so.parts[pt]; ok && so.synced && so.clock > 0 && now.Sub(so.heard) < heardMost {
+		clock, ok := so.clockAt(now)
+		if ok && (!so.info.Managed || allowed && (di.permit == nil || di.permit(clock))) {
 			out = append(out, Location{
-				CacheStore: so.info, Clock: so.clock + now.Sub(so.heard).Milliseconds(), Slow: so.slowness(now),
+				CacheStore: so.info, Clock: clock, Slow: so.slowness(now),
 				Queued: so.queued(now),
 			})
 		}
@@ -241,6 +242,21 @@
 	return out
 }
 
+// Clock returns the endpoints' clock, in milliseconds, as the stores have told it last; zero if none has
+// for a while.
+func (di *Directory) Clock() int64 {
+	di.mu.Lock()
+	defer di.mu.Unlock()
+	now := di.ck.Now()
+	newest := int64(0)
+	for _, so := range di.stores {
+		if clock, ok := so.clockAt(now); ok && so.synced {
+			newest = max(newest, clock)
+		}
+	}
+	return newest
+}
+
 // Observe records that a transfer that should have taken expected by the store's link took took.
 func (di *Directory) Observe(address string, expected, took time.Duration) {
 	di.mu.Lock()
@@ -289,6 +305,12 @@
 	}
 }
 
+// clockAt returns the endpoints' clock at now; ok is false if the store has not told it for a while.
+func (so *store) clockAt(now time.Time) (clock int64, ok bool) {
+	since := now.Sub(so.heard)
+	return so.clock + since.Milliseconds(), so.clock > 0 && since < heardMost
+}
+
 func (so *store) change(ch Change) {
 	if had, ok := so.parts[ch.Part]; ok {
 		so.used -= had
--- a/internal/cachedir/cachedir_test.go
+++ b/internal/cachedir/cachedir_test.go
@@ -163,6 +163,23 @@
 	require.Equal(t, uint64(17), last, "an older record changes nothing")
 }
 
+// Hosts that lost the metadata store read whole prompts from the end of their lease on, while their
+// peers knew all that they needed (scale-2 on the grown sites).
+func TestPassEndsWithSilenceOrNewerGates(t *testing.T) {
+	var pa cachedir.Pass
+	const clock = 5_000_000
+	require.False(t, pa.IsValid(clock))
+	pa.Extend(7, 7, clock)
+	require.True(t, pa.IsValid(clock+500))
+	pa.Extend(7, 7, clock-400)
+	require.True(t, pa.IsValid(clock+500), "an older word arrives later")
+	require.False(t, pa.IsValid(clock+600), "nothing was heard since")
+	pa.Extend(7, 9, clock+700)
+	require.True(t, pa.IsValid(clock+700), "this host knows lower gates than the other")
+	pa.Extend(10, 9, clock+701)
+	require.False(t, pa.IsValid(clock+701), "gates are lower than this host knows")
+}
+
 func TestHotPartsAreThoseUsedMost(t *testing.T) {
 	di := directory(clockwork.NewFakeClock())
 	for i, id := range []string{"a", "b", "c"} {
@@ -197,11 +214,24 @@
 	require.Zero(t, di.Find(part("p"))[0].Queued)
 }
 
+func TestClockIsThatOfTheNewestWord(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	di := directory(ck)
+	require.Zero(t, cachedir.New(ck).Clock())
+	add(di, large, part("p"))
+	before := di.Clock()
+	require.Positive(t, before)
+	ck.Advance(time.Second)
+	require.Equal(t, before+1000, di.Clock())
+	ck.Advance(time.Second)
+	require.Zero(t, di.Clock(), "too long ago")
+}
+
 func TestHostThatIsNotKnownFetchesNothing(t *testing.T) {
 	di := directory(clockwork.NewFakeClock())
 	add(di, large, part("p"))
 	known := false
-	di.SetPermit(func() bool { return known })
+	di.SetPermit(func(int64) bool { return known })
 	require.Empty(t, di.Find(part("p")))
 	known = true
 	require.Len(t, di.Find(part("p")), 1)
--- a/internal/cachedir/gate.go
+++ b/internal/cachedir/gate.go
@@ -87,9 +87,9 @@
 	di.gates = ga
 }
 
-// SetPermit sets what tells whether this host may fetch from managed stores at all now. It must not
-// call the directory.
-func (di *Directory) SetPermit(permit func() bool) {
+// SetPermit sets what tells whether this host may fetch from managed stores at all, at a time of the
+// endpoints' clock. It must not call the directory.
+func (di *Directory) SetPermit(permit func(clock int64) bool) {
 	di.mu.Lock()
 	defer di.mu.Unlock()
 	di.permit = permit
--- a/internal/cachedir/relay.go
+++ b/internal/cachedir/relay.go
@@ -39,8 +39,8 @@
 	now := di.ck.Now()
 	var states []State
 	for address, so := range di.stores {
-		if so.synced && so.clock > 0 && now.Sub(so.heard) < heardMost {
-			states = append(states, State{Address: address, Epoch: so.epoch, Clock: so.clock + now.Sub(so.heard).Milliseconds()})
+		if clock, ok := so.clockAt(now); ok && so.synced {
+			states = append(states, State{Address: address, Epoch: so.epoch, Clock: clock})
 		}
 	}
 	return out, states
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -318,10 +318,16 @@
 	no.log.WithFields(logrus.Fields{"held": held, "fence": fence}).Info("Duty of weights changed hands.")
 }
 
-// mayFetch reports whether the other hosts know of this one, so that what it fetches is not freed
-// meanwhile. It must have seen its own item, and with it all gates from before.
-func (no *Node) mayFetch() bool {
-	return int64(clock.Boot()) < no.registered.Load() && no.state.knows(no.st.Name) && !no.reclaim.isUnreadable()
+// mayFetch reports whether parts that this host fetches at a time of the endpoints' clock are not freed
+// meanwhile: because it is registered, or on the word of a host that is.
+func (no *Node) mayFetch(clock int64) bool {
+	return !no.reclaim.isUnreadable() && (no.isRegistered() || no.reclaim.hasPass(clock))
+}
+
+// isRegistered reports whether the other hosts know of this one. It must have seen its own item, and
+// with it all gates from before.
+func (no *Node) isRegistered() bool {
+	return int64(clock.Boot()) < no.registered.Load() && no.state.knows(no.st.Name)
 }
 
 // knownToAll returns the revision of the metadata store up to which each registered host knows all
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -17,7 +17,7 @@
 	// reclaimEvery is the pause between two looks at the cache stores.
 	reclaimEvery = 400 * time.Millisecond
 	// fetchesEnd is how long after the last host has seen a gate a fetch that began before can
-	// last; the request may be on its way for a moment before.
+	// last; the request may be on its way for a moment before, or begin on a pass of 600 ms.
 	fetchesEnd = cachedir.FetchMost + 1200*time.Millisecond
 	// reclaimFrom is the share of a store from which room is made for newer weights.
 	reclaimFrom = 0.5
@@ -40,6 +40,7 @@
 
 	mu      sync.Mutex
 	descent cachedir.Descent
+	pass    cachedir.Pass
 	// unreadable reports gates that this host does not understand, and so cannot keep to.
 	unreadable bool
 }
@@ -61,6 +62,30 @@
 	re.no.cache.SetGates(ga)
 }
 
+// revision returns that of the newest gates, zero if there are none.
+func (re *reclaim) revision() uint64 {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	_, revision := re.descent.Last()
+	return revision
+}
+
+// extend takes the word of a registered host, given at a time of the endpoints' clock, on the revision
+// of the newest gates.
+func (re *reclaim) extend(told uint64, clock int64) {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	_, own := re.descent.Last()
+	re.pass.Extend(told, own, clock)
+}
+
+// hasPass reports whether this host may fetch on the word of another.
+func (re *reclaim) hasPass(clock int64) bool {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	return re.pass.IsValid(clock)
+}
+
 // isUnreadable reports whether the newest gates could not be read.
 func (re *reclaim) isUnreadable() bool {
 	re.mu.Lock()
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -45,6 +45,10 @@
 			dg.Weights = append(dg.Weights, peering.Weights{Endpoint: id, Model: model, Version: version})
 		}
 	}
+	// The clock is asked first: gates that change meanwhile make the word worth less, not more.
+	if clock := no.cache.Clock(); clock > 0 && no.isRegistered() {
+		dg.Clock, dg.Gates = clock, no.reclaim.revision()+1
+	}
 	now := no.ck.Now()
 	crashes, cleared := no.board.News()
 	for _, cr := range crashes {
@@ -131,6 +135,9 @@
 	for _, fp := range dg.Cleared {
 		no.board.Forget(quarantine.Fingerprint(fp))
 	}
+	if dg.Gates > 0 {
+		no.reclaim.extend(dg.Gates-1, dg.Clock)
+	}
 	if no.exchange.Follows() {
 		return
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -77,6 +77,10 @@
 		// Stores and Cache are what a lead knows of cache stores.
 		Stores []Store `json:"k,omitempty"`
 		Cache  []Parts `json:"p,omitempty"`
+		// Gates is one more than the revision of the cache's gates that the host knows, if the
+		// metadata store knows the host; else zero. Clock is the endpoints' clock at that moment.
+		Gates uint64 `json:"g,omitempty"`
+		Clock int64  `json:"c,omitempty"`
 
 		// PauseMs is the pause of a lead, which the hosts that report to it keep as well.
 		PauseMs int64 `json:"b,omitempty"`
@@ -176,7 +180,7 @@
 	go ex.send(ctx, host)
 	buf := make([]byte, digestBytes)
 	for {
-		n, _, err := ex.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := ex.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -190,7 +194,7 @@
 		if json.Unmarshal(buf[:n], &dg) != nil || !ex.isNewer(dg) {
 			continue
 		}
-		if dg, ok := ex.take(dg); ok {
+		if dg, ok := ex.take(dg, from); ok {
 			host.Receive(dg)
 		}
 	}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -55,6 +55,14 @@
 	}
 }
 
+// forget forgets what the host has heard.
+func (ho *host) forget() {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	clear(ho.loads)
+	clear(ho.seen)
+}
+
 // others returns how many requests of other hosts this one knows of, and how many hosts.
 func (ho *host) others() (requests, hosts int) {
 	ho.mu.Lock()
@@ -187,3 +195,29 @@
 		}
 	}
 }
+
+// Leads forgot hosts that the metadata store had lost, so that these knew no loads and no kept parts
+// any more, though nothing kept them from their peers (scale-2 on the grown sites).
+func TestHostThatTheStoreHasLostIsStillTold(t *testing.T) {
+	hosts := start(t, 30)
+	lost := hosts[29]
+	for _, ho := range hosts[:29] {
+		var others []peering.Peer
+		for i, other := range hosts[:29] {
+			if other != ho {
+				pe := peering.Peer{Name: other.name, Zone: fmt.Sprintf("zone-%d", i%3), Weight: 0.2}
+				if i < 6 {
+					pe.Weight = 0.8
+				}
+				pe.Address = netip.MustParseAddrPort(other.exchange.Address())
+				others = append(others, pe)
+			}
+		}
+		ho.exchange.SetPeers(others)
+	}
+	lost.forget()
+	require.Eventually(t, func() bool {
+		requests, _ := lost.others()
+		return requests == 29
+	}, patience, tick)
+}
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -49,6 +50,7 @@
 
 type received struct {
 	digest Digest
+	from   netip.AddrPort
 	at     time.Time
 }
 
@@ -255,6 +257,7 @@
 	}
 	total := merge(all...)
 	total.Host, total.Tier, total.PauseMs = ex.self.Name, Total, ex.pace().Milliseconds()
+	total.Gates, total.Clock = own.Gates, own.Clock
 	if ex.isStrong() {
 		added := news()
 		total.Stores, total.Cache = added.Stores, added.Cache
@@ -273,29 +276,35 @@
 			members = append(members, pe)
 		}
 	}
+	// Hosts that the metadata store has lost go on reporting, and are told as before.
+	for name, re := range ex.reports {
+		if !slices.ContainsFunc(zone, func(pe Peer) bool { return pe.Name == name }) {
+			members = append(members, Peer{Name: name, Address: re.from})
+		}
+	}
 	at := total
 	at.Hosts, at.Weights = known, weights
 	at.Loads = subtract(total.Loads, own.Loads)
-	at.Stores, at.Cache = nil, nil
+	at.Stores, at.Cache, at.Gates = nil, nil, 0
 	return []outgoing{{digest: mine, peers: others}, {digest: total, peers: members}}, &at
 }
 
 // take sorts in what has arrived. It returns what the host should know, if anything.
-func (ex *Exchange) take(dg Digest) (Digest, bool) {
+func (ex *Exchange) take(dg Digest, from netip.AddrPort) (Digest, bool) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	now := ex.ck.Now()
 	switch dg.Tier {
 	case Report:
-		ex.reports[dg.Host] = received{digest: dg, at: now}
+		ex.reports[dg.Host] = received{digest: dg, from: from, at: now}
 		return Digest{}, false
 	case Zone:
 		ex.zones[dg.Zone] = received{digest: dg, at: now}
 		return Digest{}, false
 	case Total:
 		rank, zone := ex.rank()
-		from := slices.IndexFunc(zone, func(pe Peer) bool { return pe.Name == dg.Host })
-		if from >= 0 && from < rank {
+		at := slices.IndexFunc(zone, func(pe Peer) bool { return pe.Name == dg.Host })
+		if at >= 0 && at < rank {
 			ex.leadHeard, ex.lead = now, dg.Host
 			ex.pause = time.Duration(dg.PauseMs) * time.Millisecond
 		}
