--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -105,10 +105,12 @@
 	// NotSentError reports a request of which no byte has left this host.
 	NotSentError struct {
 		target Target
-		full   bool
 		cause  error
 	}
 
+	// fullError reports that as many connections are open as this host may have.
+	fullError struct{ limit int }
+
 	// BrokenError reports a request that may have run: bytes may have left, and no answer came.
 	BrokenError struct {
 		target Target
@@ -116,7 +118,10 @@
 	}
 )
 
-var errFull = errors.New("all connections that this host may open are in use")
+// Error names the bound.
+func (e *fullError) Error() string {
+	return fmt.Sprintf("all %d connections that this host may open are in use", e.limit)
+}
 
 // String names one start of an endpoint.
 func (ta Target) String() string { return ta.ID + "@" + strconv.FormatInt(ta.Born, 36) }
@@ -130,7 +135,10 @@
 func (e *NotSentError) Unwrap() error { return e.cause }
 
 // IsFull reports that the bound on connections was reached, which says nothing on the endpoint.
-func (e *NotSentError) IsFull() bool { return e.full }
+func (e *NotSentError) IsFull() bool {
+	var fe *fullError
+	return errors.As(e.cause, &fe)
+}
 
 // Error names the endpoint and the cause.
 func (e *BrokenError) Error() string {
@@ -264,7 +272,7 @@
 		return
 	}
 	for _, cn := range pl.idle {
-		_ = cn.Close()
+		discard(cn)
 		pl.open--
 	}
 	pl.idle = nil
@@ -276,8 +284,7 @@
 	nd := net.Dialer{Timeout: min(refusedWithin, po.opts.DialLimit), KeepAlive: -1}
 	raw, err := nd.DialContext(ctx, "tcp", target.Address)
 	if err == nil {
-		// Nothing was sent on it.
-		_ = raw.Close()
+		discard(raw)
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
@@ -291,7 +298,7 @@
 			continue
 		}
 		for _, cn := range pl.idle {
-			_ = cn.Close()
+			discard(cn)
 			pl.open--
 		}
 		pl.idle = nil
@@ -317,12 +324,12 @@
 			_ = cn.SetDeadline(time.Time{})
 			return cn, nil
 		}
-		_ = cn.Close()
+		discard(cn)
 		pl.open--
 	}
 	if limit > 0 && pl.open >= limit {
 		po.mu.Unlock()
-		return nil, &NotSentError{target: target, full: true, cause: errFull}
+		return nil, &NotSentError{target: target, cause: &fullError{limit: limit}}
 	}
 	pl.open++
 	po.mu.Unlock()
@@ -340,6 +347,9 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readerBytes)}, nil
 }
 
+// discard closes a connection that is not used any more; what was to be learned of it is known.
+func discard(nc net.Conn) { _ = nc.Close() }
+
 func (po *Pool) put(target Target, cn *conn, keep bool) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
@@ -349,7 +359,7 @@
 		pl.idle = append(pl.idle, cn)
 		return
 	}
-	_ = cn.Close()
+	discard(cn)
 	if pl != nil {
 		pl.open--
 	}
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -292,6 +292,7 @@
 		require.NoError(t, err)
 		rsp, err := http.ReadResponse(br, nil)
 		require.NoError(t, err, "a request on a kept connection has no answer")
+		defer func() { _ = rsp.Body.Close() }()
 		_, err = io.Copy(io.Discard, rsp.Body)
 		require.NoError(t, err)
 		return rsp.Close
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,7 +49,7 @@
 		lastEvent string
 		events    int
 		endpoint  string
-		print     quarantine.Fingerprint
+		mark      quarantine.Fingerprint
 	}
 
 	// verdict is what to do after an attempt.
@@ -211,64 +210,6 @@
 	return vd, nil
 }
 
-// own skips answers on the connection that belong to earlier requests.
-func (fw *forwarding) own(an *attempt.Answer) error {
-	for {
-		me := fw.gw.opts.Codec.Meta(an.Status, an.Header)
-		if me.RequestID == fw.rq.ID || (me.RequestID == "" && !an.Reused) {
-			return nil
-		}
-		if me.RequestID == "" {
-			an.Close()
-			return failure("an answer does not name its request")
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(an, answerBytes)); err != nil {
-			an.Close()
-			return err
-		}
-		if err := an.Next(); err != nil {
-			an.Close()
-			return err
-		}
-	}
-}
-
-// whole reads an answer to its end and returns it.
-func (fw *forwarding) whole(an *attempt.Answer, me Meta, pl plan) (verdict, fleet.Outcome, error) {
-	rq := fw.rq
-	body, err := io.ReadAll(io.LimitReader(an, answerBytes))
-	success := an.Status >= 200 && an.Status < 300
-	if err == nil && ((success && !me.Sealed) || me.Encoded) {
-		err = failure("the answer is not the endpoint's own")
-	}
-	if err != nil {
-		if fw.repeats() {
-			return again, fleet.Failed, err
-		}
-		return giveUp, fleet.Failed, err
-	}
-	outcome := fleet.Good
-	if an.Status >= http.StatusInternalServerError {
-		outcome = fleet.Neutral
-		if rq.route.Kind == catalog.Repeatable && fw.repeats() {
-			return again, outcome, &StatusError{status: an.Status}
-		}
-	}
-	fw.gw.opts.Meter.FirstToken(rq.route.Name, fw.gw.opts.Clock.Now().Sub(rq.arrived))
-	hd := fw.w.Header()
-	fw.gw.opts.Codec.Answer(hd, an.Header)
-	hd.Set("Content-Length", strconv.Itoa(len(body)))
-	fw.w.WriteHeader(an.Status)
-	if rq.Method != http.MethodHead {
-		if _, err := fw.w.Write(body); err != nil {
-			fw.end("client-left", an.Status, err)
-			return finished, outcome, nil
-		}
-	}
-	fw.endAt("answered", an.Status, nil, pl)
-	return finished, outcome, nil
-}
-
 // repeats reports whether the request may run once more elsewhere.
 func (fw *forwarding) repeats() bool {
 	return fw.rq.route.Repeats() && fw.sent < fw.rq.route.Attempts &&
--- a/internal/gateway/suspect.go
+++ b/internal/gateway/suspect.go
@@ -14,14 +14,14 @@
 
 // fingerprint returns what equal requests of one team have in common.
 func (fw *forwarding) fingerprint() quarantine.Fingerprint {
-	if fw.print == "" {
+	if fw.mark == "" {
 		team := ""
 		if fw.rq.team != nil {
 			team = fw.rq.team.Name
 		}
-		fw.print = quarantine.Of(team, fw.rq.Method+" "+fw.rq.Host+" "+fw.rq.URI, fw.rq.Body)
+		fw.mark = quarantine.Of(team, fw.rq.Method+" "+fw.rq.Host+" "+fw.rq.URI, fw.rq.Body)
 	}
-	return fw.print
+	return fw.mark
 }
 
 // isCrasher reports whether the request was running at so many crashes that it runs no more.
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 )
@@ -147,7 +145,7 @@
 			err = se.opts.Store.Renew(ctx, lease)
 		}
 		switch {
-		case ctx.Err() != nil, asked >= until, errors.Is(err, metastore.ErrLeaseEnded):
+		case ctx.Err() != nil, asked >= until, metastore.IsLeaseEnded(err):
 			se.mu.Lock()
 			se.fence = 0
 			se.mu.Unlock()
--- a/internal/metastore/error.go
+++ b/internal/metastore/error.go
@@ -18,15 +18,32 @@
 	ConflictError struct {
 		current []Item
 	}
-)
 
-var (
-	// ErrCompacted reports that the history after a revision is no longer kept.
-	ErrCompacted = errors.New("metastore: the history after this revision is gone")
-	// ErrLeaseEnded reports a lease that does not exist any more.
-	ErrLeaseEnded = errors.New("metastore: the lease has ended")
+	// CompactedError reports that the history after a revision is no longer kept.
+	CompactedError struct{}
+
+	// LeaseEndedError reports a lease that does not exist any more.
+	LeaseEndedError struct{}
 )
 
+// IsCompacted reports whether err, or what it wraps, is a *CompactedError.
+func IsCompacted(err error) bool {
+	var ce *CompactedError
+	return errors.As(err, &ce)
+}
+
+// IsLeaseEnded reports whether err, or what it wraps, is a *LeaseEndedError.
+func IsLeaseEnded(err error) bool {
+	var le *LeaseEndedError
+	return errors.As(err, &le)
+}
+
+// Error says that the state must be read whole.
+func (*CompactedError) Error() string { return "metastore: the history after this revision is gone" }
+
+// Error says what the call met.
+func (*LeaseEndedError) Error() string { return "metastore: the lease has ended" }
+
 // NewUnavailableError returns the failure of an operation. Uncertain means that a write may have
 // taken effect, or may do so later.
 func NewUnavailableError(operation string, uncertain bool, cause error) *UnavailableError {
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bergamotway/bergamotway/internal/clock"
 )
 
@@ -48,7 +46,7 @@
 		if known {
 			var ch Changes
 			ch, err = st.Watch(ctx, prefix, revision, watchWait)
-			if errors.Is(err, ErrCompacted) {
+			if IsCompacted(err) {
 				known = false
 				continue
 			}
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -139,9 +139,9 @@
 	require.Equal(t, "1", string(ce.Current()[0].Value))
 
 	_, err = client.Commit(ctx, metastore.Transaction{Puts: []metastore.Put{{Key: "leased", Lease: 99}}})
-	require.ErrorIs(t, err, metastore.ErrLeaseEnded)
-	require.ErrorIs(t, client.Renew(ctx, 99), metastore.ErrLeaseEnded)
+	require.True(t, metastore.IsLeaseEnded(err))
+	require.True(t, metastore.IsLeaseEnded(client.Renew(ctx, 99)))
 	st.Forget()
 	_, err = client.Watch(ctx, "", 0, time.Millisecond)
-	require.ErrorIs(t, err, metastore.ErrCompacted)
+	require.True(t, metastore.IsCompacted(err))
 }
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -83,14 +83,14 @@
 		// List returns all items whose keys begin with prefix, linearizably.
 		List(ctx context.Context, prefix string) (Snapshot, error)
 		// Watch waits at most wait for changes after revision below prefix. It fails with
-		// ErrCompacted if that history is gone.
+		// a *CompactedError if that history is gone.
 		Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (Changes, error)
 		// Commit applies a transaction and returns its revision. It fails with a *ConflictError if
-		// a condition does not hold and with ErrLeaseEnded if a lease has ended.
+		// a condition does not hold and with a *LeaseEndedError if a lease has ended.
 		Commit(ctx context.Context, tx Transaction) (uint64, error)
 		// Grant starts a lease and returns its identifier.
 		Grant(ctx context.Context, ttl time.Duration) (uint64, error)
-		// Renew extends a lease by its time to live. It fails with ErrLeaseEnded if it has ended.
+		// Renew extends a lease by its time to live. It fails with a *LeaseEndedError if it has ended.
 		Renew(ctx context.Context, lease uint64) error
 		// Revoke ends a lease and removes its keys.
 		Revoke(ctx context.Context, lease uint64) error
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -382,7 +382,7 @@
 		switch {
 		case err == nil:
 			no.registered.Store(int64(asked + registeredFor - registeredMargin))
-		case errors.Is(err, metastore.ErrLeaseEnded):
+		case metastore.IsLeaseEnded(err):
 			lease = 0
 		}
 		select {
--- a/internal/peering/load.go
+++ b/internal/peering/load.go
@@ -30,6 +30,9 @@
 		at    int
 		cause error
 	}
+
+	// cutError says what a text ends within.
+	cutError struct{ what string }
 )
 
 // keyBytes is the length of a key in the text's bytes.
@@ -43,6 +46,9 @@
 	return errors.Wrapf(e.cause, "peering: loads at byte %d", e.at).Error()
 }
 
+// Error says what is not whole.
+func (e *cutError) Error() string { return "the text ends within " + e.what }
+
 // Unwrap returns the cause.
 func (e *LoadsError) Unwrap() error { return e.cause }
 
@@ -67,14 +73,14 @@
 	var out Loads
 	for at := 0; at < len(raw); {
 		if len(raw)-at < keyBytes {
-			return &LoadsError{at: at, cause: errors.New("a key is cut short")}
+			return &LoadsError{at: at, cause: &cutError{"a key"}}
 		}
 		ld := Load{Endpoint: Key(binary.LittleEndian.Uint32(raw[at:]))}
 		at += keyBytes
 		for _, n := range []*int{&ld.Requests, &ld.Tokens, &ld.Unread} {
 			v, size := binary.Uvarint(raw[at:])
 			if size <= 0 || v > 1<<40 {
-				return &LoadsError{at: at, cause: errors.New("a number is cut short or too large")}
+				return &LoadsError{at: at, cause: &cutError{"a number, or the number is too large"}}
 			}
 			*n = int(v)
 			at += size
--- a/internal/quarantine/board_test.go
+++ b/internal/quarantine/board_test.go
@@ -10,12 +10,12 @@
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 )
 
-const print = quarantine.Fingerprint("print")
+const same = quarantine.Fingerprint("same")
 
 // run reports that a request ran from began to at, in milliseconds from start.
 func run(start time.Time, id string, began, at int) quarantine.Report {
 	return quarantine.Report{
-		Fingerprint: print, ID: id,
+		Fingerprint: same, ID: id,
 		Began: start.Add(time.Duration(began) * time.Millisecond), At: start.Add(time.Duration(at) * time.Millisecond),
 	}
 }
@@ -23,14 +23,14 @@
 func TestCrashesInTurnRefuse(t *testing.T) {
 	ck := clockwork.NewFakeClock()
 	bd := quarantine.NewBoard(ck)
-	require.Equal(t, quarantine.Clear, bd.Standing(print))
+	require.Equal(t, quarantine.Clear, bd.Standing(same))
 	bd.Record(run(ck.Now(), "a", 0, 40))
 	bd.Record(run(ck.Now(), "a", 0, 40))
-	require.Equal(t, quarantine.Suspected, bd.Standing(print), "two hosts told of one crash")
+	require.Equal(t, quarantine.Suspected, bd.Standing(same), "two hosts told of one crash")
 	bd.Record(run(ck.Now(), "b", 41, 60))
-	require.Equal(t, quarantine.Refused, bd.Standing(print))
+	require.Equal(t, quarantine.Refused, bd.Standing(same))
 	ck.Advance(2 * time.Hour)
-	require.Equal(t, quarantine.Clear, bd.Standing(print))
+	require.Equal(t, quarantine.Clear, bd.Standing(same))
 	require.Zero(t, bd.Size())
 }
 
@@ -41,7 +41,7 @@
 	for i, id := range []string{"a", "b", "c", "d"} {
 		bd.Record(run(ck.Now(), id, i, 40+i))
 	}
-	require.Equal(t, quarantine.Suspected, bd.Standing(print))
+	require.Equal(t, quarantine.Suspected, bd.Standing(same))
 }
 
 func TestAnswerClears(t *testing.T) {
@@ -50,19 +50,19 @@
 	first := run(ck.Now(), "a", 0, 40)
 	bd.Record(first)
 	other.Record(first)
-	bd.Forget(print)
-	require.Equal(t, quarantine.Clear, bd.Standing(print))
+	bd.Forget(same)
+	require.Equal(t, quarantine.Clear, bd.Standing(same))
 	crashes, cleared := bd.News()
 	require.Empty(t, crashes)
-	require.Equal(t, []quarantine.Fingerprint{print}, cleared)
+	require.Equal(t, []quarantine.Fingerprint{same}, cleared)
 	for _, fp := range cleared {
 		other.Forget(fp)
 	}
-	require.Equal(t, quarantine.Clear, other.Standing(print))
+	require.Equal(t, quarantine.Clear, other.Standing(same))
 	bd.Record(first)
-	require.Equal(t, quarantine.Clear, bd.Standing(print), "old news arrive again")
+	require.Equal(t, quarantine.Clear, bd.Standing(same), "old news arrive again")
 	bd.Record(run(ck.Now(), "b", 100, 140))
-	require.Equal(t, quarantine.Suspected, bd.Standing(print))
+	require.Equal(t, quarantine.Suspected, bd.Standing(same))
 }
 
 func TestNewsAreToldForAWhile(t *testing.T) {
--- /dev/null
+++ b/internal/standin/site/engine.go
@@ -0,0 +1,39 @@
+package site
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+func (ep *Endpoint) report(w http.ResponseWriter) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{
+		"stage": "both", "busy": false, "seq": len(ep.orders),
+		"models": []map[string]any{{"name": ep.opts.Model, "version": ep.version, "adapters": []string{}}},
+	})
+}
+
+func (ep *Endpoint) order(w http.ResponseWriter, rq *http.Request) {
+	var od Order
+	if json.NewDecoder(rq.Body).Decode(&od) != nil || od.Holder == "" || od.Fence == 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	switch {
+	case rq.Header.Get("X-Expect-Instance") != ep.id:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	case od.Expected != uint64(len(ep.orders)):
+		w.WriteHeader(http.StatusConflict)
+	case od.Version == ep.version:
+		w.WriteHeader(http.StatusOK)
+	default:
+		od.At = time.Now()
+		ep.orders = append(ep.orders, od)
+		ep.version = od.Version
+		w.WriteHeader(http.StatusAccepted)
+	}
+}
