--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -12,11 +12,11 @@
 )
 
 const (
-	// freshHosts is up to how many hosts each knows the load of all others within 100 ms.
+	// freshHosts is up to how many hosts each hears of the loads of all others at first hand.
 	freshHosts = 12
-	// sampleFresh bounds the endpoints that are weighed for a request. With more hosts the loads
-	// known are older than most requests last, and all hosts would send to the few endpoints that
-	// were idle a moment ago; a choice among few is better then.
+	// sampleFresh bounds the endpoints that are weighed for a request. Between more hosts loads are
+	// some 60 ms older, and all hosts would send to the few endpoints that were idle then; each
+	// request weighs a few of its own, of which 8 do no better than 4.
 	sampleFresh      = 18
 	sampleStale      = 4
 	sampleStalePlain = 2
