gateway, node: bodies of requests are bounded together, and large ones in time

Cause: a body of up to 4 MiB was read whole for each connection, with no bound on their sum and none on the time after the header: forty clients that send slowly fill the 134 MB of a host. Change: room is taken as a body arrives, at most a fifth of the host's memory in all; what finds no room is refused (503, no-memory) before it is sent on, while small requests go on. A body above 64 KiB must arrive while its client waits, or within 30 s if it does not say. Ruled out: reserving what a client announces, since announcing costs nothing; a deadline for each body, which adds two calls to each request. Not done: a test of a process at its limit, and slow readers (a stream holds one event, a whole answer up to 16 MiB).

--- /dev/null
+++ b/internal/gateway/body_test.go
@@ -0,0 +1,106 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	mebibyte = 1 << 20
+	bodySize = 600 << 10
+)
+
+func post(t *testing.T, address, id string, length int, more string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	_, err = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n%s\r\n", id, length, more)
+	require.NoError(t, err)
+	return conn
+}
+
+func answer(t *testing.T, conn net.Conn) (status int, closes bool) {
+	t.Helper()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(10*time.Second)))
+	rsp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = rsp.Body.Close() }()
+	_, err = io.Copy(io.Discard, rsp.Body)
+	require.NoError(t, err)
+	return rsp.StatusCode, rsp.Close
+}
+
+// Clients that send slowly could fill a host's memory with bodies of up to 4 MiB each: nothing bounded
+// their sum.
+func TestBodiesOfSlowClientsAreBoundedTogether(t *testing.T) {
+	gw, ep := newGateway(t, 2*mebibyte)
+	sv := httptest.NewServer(gw)
+	t.Cleanup(sv.Close)
+	address := sv.Listener.Addr().String()
+	part := bytes.Repeat([]byte("b"), bodySize-1)
+	var slow []net.Conn
+	refused := 0
+	for i := range 8 {
+		conn := post(t, address, fmt.Sprint("slow-", i), bodySize, "")
+		// The host may refuse while the body is on its way.
+		_, _ = conn.Write(part)
+		slow = append(slow, conn)
+	}
+	for _, conn := range slow {
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
+		rsp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			continue
+		}
+		_ = rsp.Body.Close()
+		require.Equal(t, http.StatusServiceUnavailable, rsp.StatusCode)
+		require.True(t, rsp.Close)
+		refused++
+		require.NoError(t, conn.Close())
+	}
+	require.GreaterOrEqual(t, refused, 5, "2 MiB hold three bodies of 600 KiB")
+	require.Empty(t, ep.Runs(), "what was refused has not run")
+	small := post(t, address, "small", 5, "")
+	_, err := io.WriteString(small, "small")
+	require.NoError(t, err)
+	status, _ := answer(t, small)
+	require.Equal(t, http.StatusOK, status, "small requests are served meanwhile")
+	for _, conn := range slow {
+		_ = conn.Close()
+	}
+	require.Eventually(t, func() bool {
+		conn := post(t, address, "whole", bodySize, "")
+		_, err := conn.Write(append(part, 'b'))
+		if err != nil {
+			return false
+		}
+		status, _ := answer(t, conn)
+		return status == http.StatusOK
+	}, 10*time.Second, 10*time.Millisecond, "room is given back")
+	require.Equal(t, bodySize, len(ep.Runs()[1].Body))
+}
+
+// A large body that stops on its way once held its memory for as long as the client liked.
+func TestLargeBodyArrivesWhileTheClientWaits(t *testing.T) {
+	gw, ep := newGateway(t, 0)
+	sv := httptest.NewServer(gw)
+	t.Cleanup(sv.Close)
+	conn := post(t, sv.Listener.Addr().String(), "stopped", bodySize, "X-Deadline-Ms: 300\r\n")
+	_, err := io.WriteString(conn, strings.Repeat("b", 1000))
+	require.NoError(t, err)
+	status, closes := answer(t, conn)
+	require.Equal(t, http.StatusRequestTimeout, status)
+	require.True(t, closes)
+	require.Empty(t, ep.Runs())
+}
--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -46,8 +46,9 @@
 	return client, server
 }
 
-// A host that fell behind sent requests on whose clients had given up meanwhile (GONE, grown sites).
-func TestRequestOfAClientThatLeftIsNotSentOn(t *testing.T) {
+// newGateway returns a gateway before one plain endpoint, that holds at most memory bytes of bodies.
+func newGateway(t *testing.T, memory int64) (*gateway.Gateway, *site.Endpoint) {
+	t.Helper()
 	ep, err := site.NewEndpoint(site.EndpointOptions{ID: "plain", Service: "desk", Zone: "here"})
 	require.NoError(t, err)
 	t.Cleanup(ep.Close)
@@ -58,13 +59,19 @@
 	lg.SetOutput(io.Discard)
 	gw := gateway.New(gateway.Options{
 		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(ck),
-		Budget: retry.NewWindows(ck, retry.Bound{Window: time.Second}), Board: quarantine.NewBoard(ck), Log: lg, Meter: meter{}, Zone: "here",
+		Budget: retry.NewWindows(ck, retry.Bound{Window: time.Second}), Board: quarantine.NewBoard(ck), BodyMemory: memory, Log: lg, Meter: meter{}, Zone: "here",
 		Hosts: func() int { return 1 }, Weights: func(string) uint64 { return 0 }, Expired: func(string, uint64) bool { return false },
 	})
 	gw.Configure(catalog.New(catalog.Content{
 		Version: 1, Routes: []catalog.Route{{Name: "pay", Host: "shop.example", Prefix: "/", Attempts: 1, Shares: []catalog.Share{{Service: "desk"}}}},
 		Svcs: []catalog.Service{{Name: "desk"}},
 	}))
+	return gw, ep
+}
+
+// A host that fell behind sent requests on whose clients had given up meanwhile (GONE, grown sites).
+func TestRequestOfAClientThatLeftIsNotSentOn(t *testing.T) {
+	gw, ep := newGateway(t, 0)
 	serve := func(server net.Conn) {
 		hr := httptest.NewRequest(http.MethodPost, "/", nil)
 		hr.Host = "shop.example"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,6 +53,8 @@
 		Board *quarantine.Board
 		Log   logrus.FieldLogger
 		Meter Meter
+		// BodyMemory bounds the bodies that are held at a time, in bytes; zero means no bound.
+		BodyMemory int64
 		// Zone is the availability zone of this host.
 		Zone string
 		// Policy chooses endpoints.
@@ -72,11 +74,12 @@
 		stopping atomic.Bool
 		closed   atomic.Bool
 		active   atomic.Int64
+		bodies   bodies
 	}
 )
 
 // New returns a gateway without a configuration; it refuses requests until there is one.
-func New(opts Options) *Gateway { return &Gateway{opts: opts} }
+func New(opts Options) *Gateway { return &Gateway{opts: opts, bodies: bodies{most: opts.BodyMemory}} }
 
 // Configure puts a configuration in force. It reports false and changes nothing if ct is not newer
 // than the one in force.
@@ -123,7 +126,9 @@
 	if ct != nil && ct.Limits().BodyBytes > 0 {
 		limit = ct.Limits().BodyBytes
 	}
-	rq.Body, err = io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	bo, err := gw.readBody(w, hr, rq, limit)
+	defer bo.release()
+	rq.Body = bo.data
 	if err != nil {
 		gw.unread(w, rq, err)
 		return
@@ -187,6 +192,11 @@
 		return
 	}
 	w.Header().Set("Connection", "close")
+	var crowded *CrowdedError
+	if errors.As(err, &crowded) {
+		gw.refuse(w, rq, http.StatusServiceUnavailable, "no-memory", soon, err)
+		return
+	}
 	gw.refuse(w, rq, http.StatusRequestTimeout, "body-incomplete", 0, err)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,7 +44,10 @@
 	idleTime = 60 * time.Second
 	// memoryShare is the part of the memory at which the collector works harder.
 	memoryShare = 0.7
-	mebibyte    = 1 << 20
+	// bodyShare is the part of the memory that bodies of requests may take; they lie there once more
+	// while they are sent on.
+	bodyShare = 0.2
+	mebibyte  = 1 << 20
 	// stopMargin is how long before the end of a planned stop the process ends by itself.
 	stopMargin = 400 * time.Millisecond
 	// acceptFor is how long a stopping host still takes requests. Long ones that come later would
@@ -145,7 +148,8 @@
 	no.state.named, no.state.vacant = no.upgrades.Target, no.seat.Vacant
 	no.gateway = gateway.New(gateway.Options{
 		Clock: ck, Codec: wo.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.budget, Board: no.board,
-		Log: lg.WithField("part", "gateway"), Meter: wo.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
+		BodyMemory: int64(float64(st.MemoryMiB) * mebibyte * bodyShare),
+		Log:        lg.WithField("part", "gateway"), Meter: wo.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		Hosts:   func() int { return int(no.hosts.Load()) },
 		Weights: no.state.weights.wanted,
 		Expired: func(model string, version uint64) bool {
