soak: a soak that does not start leaves no host running

Two hosts of a soak that had failed to start an hour before still ran (on the old code, traced for TestShortSoak) and called 127.0.0.1 and a port that was an endpoint of this soak by then. A fault of the soak: it ended its hosts only if all of them had started. Ruled out: the hosts under test, whose store has another address. Change: a world that cannot be built is closed. Test: TestSoakThatDoesNotStartLeavesNoHost (failed before: the first host still ran).

--- a/programs/load/soak/world.go
+++ b/programs/load/soak/world.go
@@ -62,39 +62,48 @@
 
 func newWorld(ctx context.Context, op options, dir string) (*world, error) {
 	wo := &world{op: op, names: make(map[string]int), given: make(map[string]bool)}
+	if err := wo.build(ctx, dir); err != nil {
+		// Hosts that have started would go on, and call whoever gets the store's address next.
+		wo.close()
+		return nil, err
+	}
+	return wo, nil
+}
+
+func (wo *world) build(ctx context.Context, dir string) error {
 	var err error
 	if wo.store, err = site.NewStore(); err != nil {
-		return nil, err
+		return err
 	}
 	for i := range 4 {
 		if err = wo.endpoint(&wo.engines, site.EndpointOptions{
 			ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "here", Model: site.Model, Events: events, Pause: 20 * time.Millisecond,
 		}); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	for i := range 3 {
 		if err = wo.endpoint(&wo.plain, site.EndpointOptions{ID: fmt.Sprint("plain-", i), Service: "desk", Zone: "here"}); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	if err = wo.configure(); err != nil {
-		return nil, err
+		return err
 	}
-	for i := range op.hosts {
+	for i := range wo.op.hosts {
 		ho := &process{world: wo, name: fmt.Sprint("host-", i)}
 		if ho.store, err = newProxy(wo.store.Address()); err != nil {
-			return nil, err
+			return err
 		}
+		wo.hosts = append(wo.hosts, ho)
 		if err = ho.prepare(dir); err != nil {
-			return nil, err
+			return err
 		}
 		if err = ho.start(ctx); err != nil {
-			return nil, err
+			return err
 		}
-		wo.hosts = append(wo.hosts, ho)
 	}
-	return wo, wo.await(ctx, 15*time.Second)
+	return wo.await(ctx, 15*time.Second)
 }
 
 func (wo *world) endpoint(list *[]*site.Endpoint, opts site.EndpointOptions) error {
@@ -242,7 +251,9 @@
 	for _, pr := range wo.behind {
 		pr.close()
 	}
-	wo.store.Close()
+	if wo.store != nil {
+		wo.store.Close()
+	}
 }
 
 // ownLoopback returns a loopback address that no other process of this kind uses. A host that ends
@@ -335,6 +346,9 @@
 }
 
 func (ho *process) end() {
+	if ho.stop == nil {
+		return
+	}
 	go func() {
 		for range 50 {
 			ho.signal(syscall.SIGCONT)
