quarantine, peering: news of crashes keep their order whatever their delay

Cause: TestRequestThatCrashesEndpointsIsKnownOnAllHosts failed once beside four busy processes (200 instead of 503). A host took the time of a crash from the first digest that told it; if that was later than the one that told the next crash, the two seemed to overlap and counted once. Whole milliseconds were too coarse besides: a repeat begins 0.2 ms after the crash. Change: microseconds, one reading of the clock for a digest, the news with least delay counts; crashes told by different hosts must be a second apart to count as in turn, so that one moment seen by two hosts never does. Test: TestNewsWithDifferentDelaysKeepTheirOrder.

--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -52,9 +52,13 @@
 	now := no.ck.Now()
 	crashes, cleared := no.board.News()
 	for _, cr := range crashes {
+		teller := cr.Teller
+		if teller == "" {
+			teller = no.st.Name
+		}
 		dg.Crashes = append(dg.Crashes, peering.Crash{
-			Fingerprint: string(cr.Fingerprint), Crash: cr.ID,
-			AgeMs: now.Sub(cr.At).Milliseconds(), RanMs: cr.At.Sub(cr.Began).Milliseconds(),
+			Fingerprint: string(cr.Fingerprint), Crash: cr.ID, Host: teller,
+			AgeUs: now.Sub(cr.At).Microseconds(), RanUs: cr.At.Sub(cr.Began).Microseconds(),
 		})
 	}
 	for _, fp := range cleared {
@@ -125,11 +129,15 @@
 		}
 		no.fleet.Newer(we.Endpoint, we.Model, we.Version)
 	}
+	now := no.ck.Now()
 	for _, cr := range dg.Crashes {
-		at := no.ck.Now().Add(-time.Duration(cr.AgeMs) * time.Millisecond)
+		if cr.Host == no.st.Name {
+			continue
+		}
+		at := now.Add(-time.Duration(cr.AgeUs) * time.Microsecond)
 		no.board.Record(quarantine.Report{
-			Fingerprint: quarantine.Fingerprint(cr.Fingerprint), ID: cr.Crash,
-			Began: at.Add(-time.Duration(cr.RanMs) * time.Millisecond), At: at,
+			Fingerprint: quarantine.Fingerprint(cr.Fingerprint), ID: cr.Crash, Teller: cr.Host,
+			Began: at.Add(-time.Duration(cr.RanUs) * time.Microsecond), At: at,
 		})
 	}
 	for _, fp := range dg.Cleared {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -62,9 +62,12 @@
 	Crash struct {
 		Fingerprint string `json:"f"`
 		Crash       string `json:"c"`
-		// AgeMs is how long ago that was, RanMs how long the request had been running.
-		AgeMs int64 `json:"a"`
-		RanMs int64 `json:"r"`
+		// Host is the host that noticed it.
+		Host string `json:"h"`
+		// AgeUs is how long ago that was, RanUs how long the request had been running, in
+		// microseconds: a repeat begins a fraction of a millisecond after the crash before.
+		AgeUs int64 `json:"a"`
+		RanUs int64 `json:"r"`
 	}
 
 	// Digest is what one host tells the others.
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -101,7 +101,7 @@
 		out.Crashes = append(out.Crashes, cr)
 	}
 	// The newest crashes are told first; those left out are told by their own hosts again.
-	slices.SortFunc(out.Crashes, func(a, b Crash) int { return cmp.Compare(a.AgeMs, b.AgeMs) })
+	slices.SortFunc(out.Crashes, func(a, b Crash) int { return cmp.Compare(a.AgeUs, b.AgeUs) })
 	out.Crashes = out.Crashes[:min(len(out.Crashes), crashesMost)]
 	for fp := range cleared {
 		out.Cleared = append(out.Cleared, fp)
--- a/internal/quarantine/board.go
+++ b/internal/quarantine/board.go
@@ -27,6 +27,8 @@
 	tellFor = 2 * time.Second
 	// newsMost bounds the crashes, and the cleared requests, that are told at a time.
 	newsMost = 64
+	// tellerDelay is by how much news of two hosts may differ in delay, far above that of a digest.
+	tellerDelay = time.Second
 )
 
 type (
@@ -41,6 +43,9 @@
 		Fingerprint Fingerprint
 		// ID names the crash, so that the same news from two hosts counts once.
 		ID string
+		// Teller is the host that noticed it; empty means this one. Times of different tellers have
+		// reached this host with different delays.
+		Teller string
 		// Began is when the endpoint got the request, At when the crash was noticed.
 		Began, At time.Time
 	}
@@ -107,8 +112,13 @@
 		su = &suspect{}
 		bd.suspects[re.Fingerprint] = su
 	}
-	if !slices.ContainsFunc(su.crashes, func(cr crash) bool { return cr.ID == re.ID }) {
+	at := slices.IndexFunc(su.crashes, func(cr crash) bool { return cr.ID == re.ID })
+	switch {
+	case at < 0:
 		su.crashes = append(su.crashes, crash{Report: re, heard: now})
+	case su.crashes[at].Teller == re.Teller && re.At.Before(su.crashes[at].At):
+		// The same news with less delay.
+		su.crashes[at].Report = re
 	}
 }
 
@@ -189,11 +199,15 @@
 	cs := slices.DeleteFunc(slices.Clone(su.crashes), func(cr crash) bool { return cr.isVoid })
 	slices.SortFunc(cs, func(a, b crash) int { return a.At.Compare(b.At) })
 	count := 0
-	var last time.Time
+	var last crash
 	for _, cr := range cs {
-		if count == 0 || !cr.Began.Before(last) {
+		after := last.At
+		if cr.Teller != last.Teller {
+			after = after.Add(tellerDelay)
+		}
+		if count == 0 || !cr.Began.Before(after) {
 			count++
-			last = cr.At
+			last = cr
 		}
 	}
 	return count
--- a/internal/quarantine/board_test.go
+++ b/internal/quarantine/board_test.go
@@ -75,3 +75,25 @@
 	crashes, _ = bd.News()
 	require.Empty(t, crashes)
 }
+
+// Under load the news of a first crash came later than that of the second, and the crashes seemed to
+// overlap (failed once beside four busy processes).
+func TestNewsWithDifferentDelaysKeepTheirOrder(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	bd := quarantine.NewBoard(ck)
+	told := func(id, teller string, began, at, delay int) {
+		re := run(ck.Now(), id, began+delay, at+delay)
+		re.Teller = teller
+		bd.Record(re)
+	}
+	told("a", "host-1", 0, 40, 300)
+	told("b", "host-1", 41, 60, 20)
+	told("a", "host-1", 0, 40, 20)
+	require.Equal(t, quarantine.Refused, bd.Standing(same), "one digest has told both")
+	bd = quarantine.NewBoard(ck)
+	told("a", "host-1", 0, 40, 0)
+	told("b", "host-2", 0, 40, 300)
+	require.Equal(t, quarantine.Suspected, bd.Standing(same), "two hosts told of one moment")
+	told("c", "host-2", 2000, 2040, 0)
+	require.Equal(t, quarantine.Refused, bd.Standing(same))
+}
