entry: drain a connection before closing it after an early refusal

Cause: the body of a request above the limit was left unread. Closing a TCP connection with unread bytes resets it, and the reset discards the refusal with 413 that the client has not read yet. Ruled out: reading the whole body before the refusal, which has no bound; a longer write timeout, which does not prevent the reset.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -138,6 +138,7 @@
 
 // Serve serves clients until Shutdown is called, and then returns nil.
 func (sv *Server) Serve(ln net.Listener) error {
+	ln = &lingerListener{Listener: ln, ck: sv.opts.Clock}
 	if sv.opts.TLS != nil {
 		ln = tls.NewListener(ln, sv.opts.TLS)
 	}
@@ -271,6 +272,7 @@
 	}
 	sv.writeRefusal(fc, &Request{ID: uuid.NewString()}, re)
 	fc.SetConnectionClose()
+	linger(fc.Conn())
 }
 
 func errorJSON(re *refusal.Error) []byte {
