gateway: bound responses without end

Cause: nothing bounded the header of a response (or the interim responses before it) and a line of an event; a body could take 16 MiB for each request, and one that was longer was cut there and forwarded as complete. Ruled out: a smaller limit for all bodies, which would fail correct long responses; a shared budget, with which endless responses starve the correct ones. Change: headers are limited to 64 KiB together with interim responses, events to 128 KiB. Of another response the first 128 KiB are held back until it ends; a longer one is forwarded as it arrives, up to 64 MiB, and cut off if it breaks. Skipped responses and rejections are read up to a limit in bytes, rejections also in time. A chunked or undelimited body without end was answered as a success; now it is cut.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -34,6 +34,9 @@
 	// are written concurrently, because an endpoint may respond before it has read them.
 	maxSyncWriteBytes = 2 << 10
 	readBufferBytes   = 8 << 10
+	// maxHeaderBytes bounds the header of a response together with the interim responses before it. An
+	// endpoint in trouble may send a header without end.
+	maxHeaderBytes = 64 << 10
 	// probeTimeout bounds the check whether an endpoint still listens. It is far above the round trip
 	// between zones.
 	probeTimeout = 100 * time.Millisecond
@@ -78,6 +81,7 @@
 	// conn is a connection with its read buffer; requests is the number of requests sent on it.
 	conn struct {
 		net.Conn
+		source      *headerLimitReader
 		reader      *bufio.Reader
 		idleTimeout time.Duration
 		idleSince   time.Time
@@ -167,8 +171,11 @@
 }
 
 // Next reads the header of the next response on the connection. Callers use it after a response that
-// belongs to an earlier request.
+// belongs to an earlier request. It fails with a *HeaderSizeError if the header, with the interim responses
+// before it, exceeds 64 KiB.
 func (rs *Response) Next() error {
+	rs.conn.source.limit(maxHeaderBytes)
+	defer rs.conn.source.unlimit()
 	for {
 		//nolint:bodyclose // Read reads the body; Close closes or reuses the underlying connection.
 		rsp, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: rs.method})
@@ -195,6 +202,9 @@
 	return n, err
 }
 
+// BodyLength returns the announced length of the body in bytes, or -1 if the response announces none.
+func (rs *Response) BodyLength() int64 { return rs.rsp.ContentLength }
+
 // Close ends the exchange. The connection returns to the pool if the response was read completely and
 // neither side asks to close it. Further calls do nothing.
 func (rs *Response) Close() {
@@ -217,6 +227,16 @@
 	})
 }
 
+// DiscardBody reads and drops the rest of the body, so that the connection can be reused. It gives up after
+// maxBytes or the duration d; the connection is then closed by Close.
+func (rs *Response) DiscardBody(maxBytes int64, d time.Duration) {
+	if rs.conn.SetReadDeadline(rs.pool.opts.Clock.Now().Add(d)) != nil {
+		return
+	}
+	// An error leaves the body unread, which Close takes into account.
+	_, _ = io.Copy(io.Discard, io.LimitReader(rs, maxBytes))
+}
+
 // hasDelimitedBody reports whether the response marks the end of its body, so that the connection can carry
 // another response after it.
 func (rs *Response) hasDelimitedBody() bool {
@@ -306,7 +326,8 @@
 	if po.opts.OnOpen != nil {
 		po.opts.OnOpen()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	source := &headerLimitReader{reader: raw}
+	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
 // closeConn closes a connection that is no longer used. The error is of no use: any fault of the
--- a/internal/attempt/error.go
+++ b/internal/attempt/error.go
@@ -17,6 +17,9 @@
 	// connectionLimitError reports that this host may open no further connection to the endpoint.
 	connectionLimitError struct{ limit int }
 
+	// HeaderSizeError reports a response whose header exceeds the limit, in bytes.
+	HeaderSizeError struct{ limit int }
+
 	// BrokenError reports a request that may have run: bytes may have left this host, and no complete
 	// response arrived.
 	BrokenError struct {
@@ -30,6 +33,11 @@
 	return fmt.Sprintf("all %d connections that this host may open to the endpoint are in use", e.limit)
 }
 
+// Error returns a message with the limit.
+func (e *HeaderSizeError) Error() string {
+	return fmt.Sprintf("the response header exceeds %d bytes", e.limit)
+}
+
 // Error returns a message with the endpoint and the cause.
 func (e *NotSentError) Error() string {
 	return fmt.Sprintf("attempt: request not sent to endpoint %s at %s: %v", e.target.ID, e.target.Address, e.cause)
--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -53,9 +53,15 @@
 	ep, err := site.NewEndpoint(site.EndpointOptions{ID: "plain", Service: "desk", Zone: "here"})
 	require.NoError(t, err)
 	t.Cleanup(ep.Close)
+	return newGatewayTo(t, bodyMemory, ep.Address()), ep
+}
+
+// newGatewayTo returns a gateway in front of one plain endpoint at address. Paths below /stream/ are streamed.
+func newGatewayTo(t *testing.T, bodyMemory int64, address string) *gateway.Gateway {
+	t.Helper()
 	ck := clock.System()
 	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
-	fl.Put(fleet.Entry{ID: "plain", Service: "desk", Address: ep.Address(), Zone: "here", Slots: 8})
+	fl.Put(fleet.Entry{ID: "plain", Service: "desk", Address: address, Zone: "here", Slots: 8})
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
 	gw := gateway.New(gateway.Options{
@@ -64,10 +70,13 @@
 		HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 }, IsVersionExpired: func(string, uint64) bool { return false },
 	})
 	gw.Configure(catalog.New(catalog.Spec{
-		Version: 1, Routes: []catalog.Route{{Name: "pay", Host: "shop.example", Prefix: "/", MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "desk"}}}},
+		Version: 1, Routes: []catalog.Route{
+			{Name: "pay", Host: "shop.example", Prefix: "/", MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "desk"}}},
+			{Name: "note", Kind: catalog.Streaming, Host: "shop.example", Prefix: "/stream/", MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "desk"}}},
+		},
 		Services: []catalog.Service{{Name: "desk"}},
 	}))
-	return gw, ep
+	return gw
 }
 
 // Guards against an overloaded host that forwards requests whose clients have already disconnected, because
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -17,8 +17,19 @@
 )
 
 const (
-	// maxBufferedResponseBytes bounds a response that is read whole before it is returned.
-	maxBufferedResponseBytes = 16 << 20
+	// maxBufferedResponseBytes is the part of a response that is held back until the response is complete.
+	// The rest of a longer response is forwarded as it arrives, so that endless ones take little memory.
+	maxBufferedResponseBytes = 128 << 10
+	// maxResponseBytes bounds a response that is not a stream.
+	maxResponseBytes = 64 << 20
+	// maxStaleResponses and maxStaleResponseBytes bound the responses to earlier requests that are skipped
+	// on a reused connection.
+	maxStaleResponses     = 4
+	maxStaleResponseBytes = 1 << 20
+	// maxDiscardedBytes and discardTimeout bound how much of a rejection's body is read in order to reuse
+	// the connection.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 20 * time.Millisecond
 	// maxUnsentAttempts bounds the attempts of which nothing could be sent; one more ends the request.
 	// Such attempts cost the endpoints nothing.
 	maxUnsentAttempts = 4
@@ -185,7 +196,7 @@
 		fw.rejected++
 		fi.End(fleet.Neutral, coldFor)
 		fw.recordFailedAttempt(pl, "rejected", &StatusError{status: rs.Status})
-		drain(rs)
+		rs.DiscardBody(maxDiscardedBytes, discardTimeout)
 		if !me.Misdirected {
 			gw.opts.Fleet.MarkRejecting(pl.view.ID, rejectionBackoff)
 		}
@@ -204,7 +215,7 @@
 	if rq.route.Kind == catalog.Streaming && rs.Status == http.StatusOK {
 		step, oc, err = fw.relayStream(ctx, clientCtx, rs, me, pl, fi)
 	} else {
-		step, oc, err = fw.relayBuffered(rs, me, pl)
+		step, oc, err = fw.relayResponse(rs, me, pl)
 	}
 	fi.End(fw.healthOutcome(ctx, clientCtx, oc), coldFor)
 	if step != stepDone {
@@ -351,10 +362,4 @@
 	fw.gw.opts.Log.WithFields(fields).Info("Attempt failed.")
 }
 
-// drain reads the rest of a response, so that its connection can be reused.
-func drain(rs *attempt.Response) {
-	// If something remains unread, the connection is closed instead of reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(rs, 1<<16))
-}
-
 func milliseconds(d time.Duration) int64 { return d.Milliseconds() }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -5,14 +5,18 @@
 	"net/http"
 	"strconv"
 
+	"github.com/pkg/errors"
+
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 )
 
+var errResponseSize = forwardError("the response exceeds the size limit")
+
 // skipStaleResponses discards responses on the connection that belong to earlier requests.
 func (fw *forwarder) skipStaleResponses(rs *attempt.Response) error {
-	for {
+	for range maxStaleResponses {
 		me := fw.gw.opts.Codec.DecodeResponseMeta(rs.Status, rs.Header)
 		if me.RequestID == fw.rq.ID || (me.RequestID == "" && !rs.Reused) {
 			return nil
@@ -21,30 +25,34 @@
 			rs.Close()
 			return forwardError("the response carries no request ID on a reused connection")
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(rs, maxBufferedResponseBytes)); err != nil {
+		n, err := io.Copy(io.Discard, io.LimitReader(rs, maxStaleResponseBytes))
+		if err == nil && n == maxStaleResponseBytes {
+			err = errResponseSize
+		}
+		if err != nil {
 			rs.Close()
-			return err
+			return errors.Wrap(err, "gateway: response to an earlier request")
 		}
 		if err := rs.Next(); err != nil {
 			rs.Close()
 			return err
 		}
 	}
+	rs.Close()
+	return forwardError("the connection carries too many responses to earlier requests")
 }
 
-// relayBuffered reads the response to its end and then writes it to the client.
-func (fw *forwarder) relayBuffered(rs *attempt.Response, me ResponseMeta, pl plan) (nextStep, fleet.Outcome, error) {
+// relayResponse forwards a response that is not a stream. It holds back the first maxBufferedResponseBytes:
+// if the response breaks off within them, the request can still be retried.
+func (fw *forwarder) relayResponse(rs *attempt.Response, me ResponseMeta, pl plan) (nextStep, fleet.Outcome, error) {
 	rq := fw.rq
-	body, err := io.ReadAll(io.LimitReader(rs, maxBufferedResponseBytes))
+	head, err := io.ReadAll(io.LimitReader(rs, maxBufferedResponseBytes))
 	success := rs.Status >= 200 && rs.Status < 300
 	if err == nil && ((success && !me.Sealed) || me.ContentEncoded) {
 		err = forwardError("the response is not sealed by the endpoint or has been re-encoded")
 	}
 	if err != nil {
-		if fw.canRetry() {
-			return stepRetry, fleet.Failed, err
-		}
-		return stepGiveUp, fleet.Failed, err
+		return fw.retryOrGiveUp(err)
 	}
 	outcome := fleet.Succeeded
 	if rs.Status >= http.StatusInternalServerError {
@@ -56,10 +64,13 @@
 	fw.gw.opts.Meter.ObserveFirstToken(rq.route.Name, fw.gw.opts.Clock.Now().Sub(rq.arrived))
 	hd := fw.w.Header()
 	fw.gw.opts.Codec.CopyResponseHeader(hd, rs.Header)
-	hd.Set("Content-Length", strconv.Itoa(len(body)))
+	if len(head) == maxBufferedResponseBytes {
+		return fw.relayLongResponse(rs, head, pl, outcome)
+	}
+	hd.Set("Content-Length", strconv.Itoa(len(head)))
 	fw.w.WriteHeader(rs.Status)
 	if rq.Method != http.MethodHead {
-		if _, err := fw.w.Write(body); err != nil {
+		if _, err := fw.w.Write(head); err != nil {
 			fw.recordEnd("client-left", rs.Status, err)
 			return stepDone, outcome, nil
 		}
@@ -67,3 +78,33 @@
 	fw.recordEndWithPlan("answered", rs.Status, nil, pl)
 	return stepDone, outcome, nil
 }
+
+// relayLongResponse forwards a response that is longer than head, its first bytes, as it arrives. If the
+// response breaks off or exceeds maxResponseBytes, the client's connection is cut, so that the client does
+// not take it for complete.
+func (fw *forwarder) relayLongResponse(rs *attempt.Response, head []byte, pl plan, outcome fleet.Outcome) (nextStep, fleet.Outcome, error) {
+	if length := rs.BodyLength(); length >= 0 {
+		fw.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	fw.headerWritten = true
+	fw.w.WriteHeader(rs.Status)
+	if _, err := fw.w.Write(head); err != nil {
+		fw.recordEnd("client-left", rs.Status, err)
+		return stepDone, outcome, nil
+	}
+	// The response must end before the limit, so one byte more is an error.
+	limited := &io.LimitedReader{R: rs, N: maxResponseBytes + 1 - int64(len(head))}
+	_, err := io.Copy(fw.w, limited)
+	var broken *attempt.BrokenError
+	switch {
+	case errors.As(err, &broken):
+		return stepGiveUp, fleet.Failed, err
+	case err != nil:
+		fw.recordEnd("client-left", rs.Status, err)
+		return stepDone, outcome, nil
+	case limited.N <= 0:
+		return stepGiveUp, fleet.Failed, errResponseSize
+	}
+	fw.recordEndWithPlan("answered", rs.Status, nil, pl)
+	return stepDone, outcome, nil
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one event of a stream; some hundred endless events must fit into the memory of a
+	// host.
+	maxEventBytes = 128 << 10
 	// eventWriteTimeout bounds writing one event to a client that does not read.
 	eventWriteTimeout = 5 * time.Second
 )
@@ -127,14 +128,14 @@
 		chunk, err := br.ReadSlice('\n')
 		event = append(event, chunk...)
 		switch {
+		case len(event) > maxEventBytes:
+			return nil, errEventSize
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(event) > 0:
 			return nil, io.ErrUnexpectedEOF
 		case err != nil:
 			return nil, err
-		case len(event) > maxEventBytes:
-			return nil, errEventSize
 		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
 			return event, nil
 		}
