node: relay changes of the metadata store within a zone

Besides, each digest sorted the hosts of the zone several times and looked up every endpoint by the hash of its name, and a host that had just started tried to take the upgrade lease before it knew whether it was taken. Ruled out: longer watches alone, which delay the detection of a dead connection up to the bound; relaying between zones as well, which saves few calls and adds a hop. Change: package changefeed. The aggregator of a zone watches the store and sends recent changes with its totals, with the range of revisions and the age of the last confirmation. Other hosts follow them, and watch the store themselves if a change is missing, if the aggregator has lost the store, or if it has confirmed nothing for half of the time in which a change must be applied. The ranking of a zone is computed when the list of hosts changes.

--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -63,7 +63,7 @@
 		entry             Entry
 		weightsReportedAt time.Time
 		ownLoad           Load
-		peerLoads         map[string]peerLoad
+		peerLoads         []peerLoad
 		avoidUntil        time.Time
 		rejectingUntil    time.Time
 		backoff           time.Duration
@@ -77,6 +77,7 @@
 	}
 
 	peerLoad struct {
+		peer       string
 		load       Load
 		reportedAt time.Time
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -182,6 +182,14 @@
 	fl.evacuated = maps.Clone(zones)
 }
 
+// IsServing reports whether the given start of an endpoint is known and not draining.
+func (fl *Fleet) IsServing(id, address string, startTimeMs int64) bool {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	ep := fl.endpoints[id]
+	return ep != nil && !ep.entry.Draining && ep.entry.Address == address && ep.entry.StartTimeMs == startTimeMs
+}
+
 // Views returns the endpoints of a service that may get requests, sorted by identifier: those that are not
 // draining, expired or in an evacuated zone.
 func (fl *Fleet) Views(service string) []View {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/rendezvous"
 )
 
 func newEntry(id string) fleet.Entry {
@@ -166,7 +167,9 @@
 	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
 	fl.Put(newEntry("a"))
 	fi := fl.Begin("a", fleet.Load{Requests: 1, Tokens: 10, PrefillTokens: 5}, 0)
-	fl.SetPeerLoads("peer", func(id string) (fleet.Load, bool) { return fleet.Load{Requests: 2, Tokens: 20}, id == "a" })
+	fl.SetPeerLoads("peer", func(idHash uint64) (fleet.Load, bool) {
+		return fleet.Load{Requests: 2, Tokens: 20}, idHash == rendezvous.Hash("a")
+	})
 	require.Equal(t, fleet.Load{Requests: 3, Tokens: 30, PrefillTokens: 5}, fl.All()[0].TotalLoad())
 	fi.MarkPrefilled()
 	fi.MarkPrefilled()
--- a/internal/fleet/peer.go
+++ b/internal/fleet/peer.go
@@ -1,22 +1,27 @@
 package fleet
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// SetPeerLoads records the load of a peer at each endpoint; loadOf returns false if the peer has none there.
-func (fl *Fleet) SetPeerLoads(peer string, loadOf func(id string) (ld Load, ok bool)) {
+// SetPeerLoads records the load of a peer at each endpoint. LoadOf gets the rendezvous hash of the endpoint's
+// identifier and returns false if the peer has no load there.
+func (fl *Fleet) SetPeerLoads(peer string, loadOf func(idHash uint64) (ld Load, ok bool)) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
-	for id, ep := range fl.endpoints {
-		ld, ok := loadOf(id)
-		if !ok {
-			delete(ep.peerLoads, peer)
-			continue
-		}
-		if ep.peerLoads == nil {
-			ep.peerLoads = make(map[string]peerLoad)
+	for _, ep := range fl.endpoints {
+		ld, ok := loadOf(ep.hash)
+		i := slices.IndexFunc(ep.peerLoads, func(pl peerLoad) bool { return pl.peer == peer })
+		switch {
+		case ok && i >= 0:
+			ep.peerLoads[i].load, ep.peerLoads[i].reportedAt = ld, now
+		case ok:
+			ep.peerLoads = append(ep.peerLoads, peerLoad{peer: peer, load: ld, reportedAt: now})
+		case i >= 0:
+			ep.peerLoads = slices.Delete(ep.peerLoads, i, i+1)
 		}
-		ep.peerLoads[peer] = peerLoad{load: ld, reportedAt: now}
 	}
 }
 
--- a/internal/fleet/sample.go
+++ b/internal/fleet/sample.go
@@ -8,6 +8,23 @@
 	"github.com/bergamotway/bergamotway/internal/rendezvous"
 )
 
+// rankedEndpoint is an endpoint with what it is ranked by: its zone first, then its score for a request.
+type rankedEndpoint struct {
+	ep        *endpoint
+	otherZone bool
+	score     uint64
+}
+
+func compareRank(a, b rankedEndpoint) int {
+	if a.otherZone != b.otherZone {
+		if a.otherZone {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Compare(a.score, b.score)
+}
+
 // Sample returns at most limit endpoints of a service that may get requests. They are chosen by a hash of
 // the request's key, so that hosts with the same view do not all choose the same endpoint. If zone is not
 // empty and has enough endpoints, all but one are in that availability zone. Endpoints that are avoided or
@@ -38,21 +55,25 @@
 	}
 	if len(candidates) > limit {
 		keyHash := rendezvous.Hash(key)
-		zoneRank := func(ep *endpoint) int {
-			if zone != "" && ep.entry.Zone != zone {
-				return 1
-			}
-			return 0
+		ranked := make([]rankedEndpoint, len(candidates))
+		for i, ep := range candidates {
+			ranked[i] = rankedEndpoint{ep: ep, otherZone: zone != "" && ep.entry.Zone != zone, score: rendezvous.Score(keyHash, ep.hash)}
 		}
-		slices.SortFunc(candidates, func(a, b *endpoint) int {
-			if c := cmp.Compare(zoneRank(a), zoneRank(b)); c != 0 {
-				return c
+		last := slices.MaxFunc(ranked, compareRank)
+		for i := range limit {
+			// The sample is small, so that selecting is cheaper than sorting.
+			best := i
+			for k := i + 1; k < len(ranked); k++ {
+				if compareRank(ranked[k], ranked[best]) < 0 {
+					best = k
+				}
 			}
-			return cmp.Compare(rendezvous.Score(keyHash, a.hash), rendezvous.Score(keyHash, b.hash))
-		})
+			ranked[i], ranked[best] = ranked[best], ranked[i]
+			candidates[i] = ranked[i].ep
+		}
 		// The last one is from another zone if there is one, in case the preferred zone is overloaded.
-		if zone != "" && limit > 1 && zoneRank(candidates[len(candidates)-1]) == 1 {
-			candidates[limit-1] = candidates[len(candidates)-1]
+		if limit > 1 && last.otherZone {
+			candidates[limit-1] = last.ep
 		}
 		candidates = candidates[:limit]
 	}
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -5,14 +5,16 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bergamotway/bergamotway/internal/clock"
 )
 
 const (
-	// watchTimeout is how long the store may hold one watch open. A dead connection is detected after
+	// maxWatchWait is how long the store may hold one watch open. A dead connection is detected after
 	// this plus the 500 ms margin of the store's client; the sum must stay below 2 s, the deadline for
 	// applying a change.
-	watchTimeout = 1300 * time.Millisecond
+	maxWatchWait = 1300 * time.Millisecond
 	// minRetryBackoff and maxRetryBackoff limit the backoff, which doubles with each failed call in a
 	// row. The delay before the next call is random, between 0.5 and 1.5 times the backoff.
 	minRetryBackoff = 60 * time.Millisecond
@@ -33,59 +35,152 @@
 		// CallFailed is called after each failed call to the store. Compacted history is not a failure.
 		CallFailed(err error)
 	}
-)
 
-// Follow delivers the state below prefix to fo until ctx ends. It lists the complete state, watches
-// from its revision, and lists it again when the store has compacted the history in between. It retries
-// failed calls with backoff. After each watch with changes it pauses for the duration that batchPause
-// returns, so that changes arrive in batches.
-func Follow(ctx context.Context, st Store, ck clock.Clock, prefix string, batchPause func() time.Duration, fo Follower) {
-	var (
+	// Feed delivers changes that another host has received from the store.
+	Feed interface {
+		// Next returns the changes after revision, and waits for some. It fails if the store must be asked
+		// instead. An error with a method IsStoreLost that returns true also counts as a failed call to the
+		// store. The first result after a failure may be empty.
+		Next(ctx context.Context, revision uint64) (Changes, error)
+	}
+
+	// Relay receives what the store returned, to pass it to other hosts.
+	Relay interface {
+		// Record is called with each response to a watch from revision after that was sent at requestedAt,
+		// a reading of FollowOptions.SinceBoot.
+		Record(after uint64, ch Changes, requestedAt time.Duration)
+		// RecordFailure is called after each failed call.
+		RecordFailure()
+	}
+
+	// FollowOptions configures Follow. Only Store is required.
+	FollowOptions struct {
+		Store Store
+		// Clock is the source of time; nil means the system clock.
+		Clock clock.Clock
+		// SinceBoot is a clock that also advances while the host is suspended; nil means clock.SinceBoot.
+		SinceBoot func() time.Duration
+		// Prefix selects the keys; empty means all.
+		Prefix string
+		// BatchPause returns the pause after each watch with changes, so that changes arrive in batches;
+		// nil means none.
+		BatchPause func() time.Duration
+		// WatchWait returns how long the store may hold a watch open; nil means 1.3 s, which is also the
+		// maximum.
+		WatchWait func() time.Duration
+		// Feed delivers changes without calls to the store; nil means that there is none.
+		Feed Feed
+		// Relay receives the responses of the store; it may be nil.
+		Relay Relay
+	}
+
+	// followLoop is the state of Follow: the revision up to which all changes have been applied, whether
+	// the complete state has been listed, and the backoff after the next failure.
+	followLoop struct {
+		opts     FollowOptions
+		fo       Follower
 		revision uint64
 		synced   bool
-		backoff  = minRetryBackoff
-	)
+		backoff  time.Duration
+	}
+)
+
+// Follow delivers the state below a prefix to a follower until ctx ends. It lists the complete state, watches
+// from its revision, and lists it again when the store has compacted the history in between. It retries failed
+// calls with backoff. While a feed covers the state, its changes replace the watches.
+func Follow(ctx context.Context, opts FollowOptions, fo Follower) {
+	opts = opts.withDefaults()
+	lp := &followLoop{opts: opts, fo: fo, backoff: minRetryBackoff}
 	for ctx.Err() == nil {
-		var err error
-		hasEvents := false
-		if synced {
-			var ch Changes
-			ch, err = st.Watch(ctx, prefix, revision, watchTimeout)
-			if IsCompacted(err) {
-				synced = false
-				continue
-			}
-			if err == nil {
-				for _, ev := range ch.Events {
-					fo.ApplyEvent(ev)
-				}
-				revision = max(revision, ch.Revision)
-				hasEvents = len(ch.Events) > 0
-			}
-		} else {
-			var sn Snapshot
-			sn, err = st.List(ctx, prefix)
-			if err == nil {
-				fo.ApplySnapshot(sn)
-				revision, synced = sn.Revision, true
-			}
+		if lp.synced && opts.Feed != nil && lp.followFeed(ctx) {
+			continue
 		}
-		if err == nil {
+		pause, err := lp.callStore(ctx)
+		switch {
+		case IsCompacted(err):
+			lp.synced = false
+			continue
+		case err == nil:
 			fo.CallSucceeded()
-			backoff = minRetryBackoff
-			if hasEvents {
-				select {
-				case <-ctx.Done():
-				case <-ck.After(batchPause()):
-				}
+			lp.backoff = minRetryBackoff
+		default:
+			fo.CallFailed(err)
+			if opts.Relay != nil {
+				opts.Relay.RecordFailure()
+			}
+			pause = lp.backoff/2 + rand.N(lp.backoff)
+			lp.backoff = min(2*lp.backoff, maxRetryBackoff)
+		}
+		if pause > 0 {
+			select {
+			case <-ctx.Done():
+			case <-opts.Clock.After(pause):
 			}
-			continue
 		}
-		fo.CallFailed(err)
-		select {
-		case <-ctx.Done():
-		case <-ck.After(backoff/2 + rand.N(backoff)):
+	}
+}
+
+func (opts FollowOptions) withDefaults() FollowOptions {
+	if opts.Clock == nil {
+		opts.Clock = clock.System()
+	}
+	if opts.SinceBoot == nil {
+		opts.SinceBoot = clock.SinceBoot
+	}
+	if opts.BatchPause == nil {
+		opts.BatchPause = func() time.Duration { return 0 }
+	}
+	if opts.WatchWait == nil {
+		opts.WatchWait = func() time.Duration { return maxWatchWait }
+	}
+	return opts
+}
+
+// followFeed waits for changes from the feed and applies them. It returns false if the store must be asked.
+func (lp *followLoop) followFeed(ctx context.Context) bool {
+	ch, err := lp.opts.Feed.Next(ctx, lp.revision)
+	if err != nil {
+		var lost interface{ IsStoreLost() bool }
+		if errors.As(err, &lost) && lost.IsStoreLost() {
+			lp.fo.CallFailed(err)
 		}
-		backoff = min(2*backoff, maxRetryBackoff)
+		return false
+	}
+	lp.apply(ch)
+	lp.fo.CallSucceeded()
+	return true
+}
+
+// callStore lists or watches the state. It returns the pause after a successful call.
+func (lp *followLoop) callStore(ctx context.Context) (pause time.Duration, err error) {
+	requestedAt := lp.opts.SinceBoot()
+	if !lp.synced {
+		sn, err := lp.opts.Store.List(ctx, lp.opts.Prefix)
+		if err != nil {
+			return 0, err
+		}
+		lp.fo.ApplySnapshot(sn)
+		lp.revision, lp.synced = sn.Revision, true
+		return 0, nil
+	}
+	after := lp.revision
+	ch, err := lp.opts.Store.Watch(ctx, lp.opts.Prefix, after, min(lp.opts.WatchWait(), maxWatchWait))
+	if err != nil {
+		return 0, err
+	}
+	lp.apply(ch)
+	if lp.opts.Relay != nil {
+		lp.opts.Relay.Record(after, ch, requestedAt)
+	}
+	if len(ch.Events) > 0 {
+		pause = lp.opts.BatchPause()
+	}
+	return pause, nil
+}
+
+func (lp *followLoop) apply(ch Changes) {
+	for _, ev := range ch.Events {
+		lp.fo.ApplyEvent(ev)
 	}
+	lp.revision = max(lp.revision, ch.Revision)
 }
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/standin/site"
 	"github.com/bergamotway/bergamotway/platform"
@@ -71,7 +70,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		metastore.Follow(ctx, platform.NewMetadataStore(st.Address(), nil), clock.System(), "", func() time.Duration { return 0 }, rp)
+		metastore.Follow(ctx, metastore.FollowOptions{Store: platform.NewMetadataStore(st.Address(), nil)}, rp)
 	}()
 	t.Cleanup(func() {
 		cancel()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/cachedir"
 	"github.com/bergamotway/bergamotway/internal/catalog"
+	"github.com/bergamotway/bergamotway/internal/changefeed"
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/gateway"
@@ -71,6 +72,15 @@
 	// pause, as a share of Bounds.ApplyMs.
 	watchPausePerHost  = 18 * time.Millisecond
 	maxWatchPauseShare = 0.42
+	// watchWait is how long the store may hold a watch of a host open that is no relay.
+	watchWait = 1300 * time.Millisecond
+	// maxFeedAgeShare is the share of Bounds.ApplyMs for which a state that a relay confirmed is used.
+	maxFeedAgeShare = 0.5
+	// relayWaitShare is the share of that time for which the store may hold a watch of a relay open: a
+	// confirmation is as old as the call, and the next call may take as long. relayWatchPause is the pause of
+	// a relay after a watch with changes.
+	relayWaitShare  = 0.35
+	relayWatchPause = 250 * time.Millisecond
 	// leaderDelayPerRank is how long a host waits, per host that ranks before it, before it tries to become
 	// leader.
 	leaderDelayPerRank = 120 * time.Millisecond
@@ -107,6 +117,9 @@
 		leaderLease     *leadership.Candidate
 		upgrades        *upgrade.Controller
 		exchange        *peering.Exchange
+		// feedPublisher and feedSubscriber pass changes of the metadata store through the aggregators.
+		feedPublisher  *changefeed.Publisher
+		feedSubscriber *changefeed.Subscriber
 
 		// The listeners for clients, readiness probes and metrics; metricsListener may be nil.
 		clientListener  net.Listener
@@ -150,12 +163,17 @@
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
 		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, OnChange: no.logLeadership,
-		AcquireDelay: no.leaderDelay, IsHeld: func() bool { return no.storeState.hasLeader.Load() },
+		// A host that does not know the state yet leaves the lease to the others.
+		AcquireDelay: no.leaderDelay, IsHeld: func() bool { return !no.fleet.IsSynced() || no.storeState.hasLeader.Load() },
 	})
 	no.upgrades = upgrade.New(upgrade.Options{
 		Clock: ck, Fleet: no.fleet, Engines: deps.Engines, Holder: st.Name, FencingToken: no.leaderLease.FencingToken,
 		Log: lg.WithField("part", "upgrade"),
 	})
+	no.feedPublisher = changefeed.NewPublisher(clock.SinceBoot)
+	no.feedSubscriber = changefeed.NewSubscriber(changefeed.SubscriberOptions{
+		Clock: ck, MaxAge: no.maxFeedAge, Disabled: func() bool { return no.exchange.IsZoneAggregator() },
+	})
 	no.reclaimer = &reclaimer{no: no}
 	no.storeState.applyGates = no.reclaimer.setGates
 	no.cache.SetFetchPermit(no.canFetch)
@@ -214,7 +232,10 @@
 	defer cancel()
 	var eg errgroup.Group
 	eg.Go(func() error {
-		metastore.Follow(workCtx, no.deps.Store, no.ck, "", no.watchPause, no.storeState)
+		metastore.Follow(workCtx, metastore.FollowOptions{
+			Store: no.deps.Store, Clock: no.ck, BatchPause: no.watchPause, WatchWait: no.watchWait,
+			Feed: no.feedSubscriber, Relay: no.feedPublisher,
+		}, no.storeState)
 		return nil
 	})
 	eg.Go(func() error { return no.exchange.Run(workCtx, (*digestSource)(no)) })
@@ -310,8 +331,25 @@
 	no.exchange.SetPeers(peers)
 }
 
+// watchWait returns how long the store may hold a watch of this host open.
+func (no *Node) watchWait() time.Duration {
+	if no.exchange.IsZoneAggregator() {
+		return time.Duration(float64(no.maxFeedAge()) * relayWaitShare)
+	}
+	return watchWait
+}
+
+// maxFeedAge returns the age from which the state that a relay has confirmed is too old, so that this host
+// watches the store itself. The rest of Bounds.ApplyMs is left for that.
+func (no *Node) maxFeedAge() time.Duration {
+	return time.Duration(float64(no.settings().Bounds.ApplyMs) * maxFeedAgeShare * float64(time.Millisecond))
+}
+
 // watchPause returns the pause between two watches of the metadata store.
 func (no *Node) watchPause() time.Duration {
+	if no.exchange.IsZoneAggregator() {
+		return relayWatchPause
+	}
 	limit := time.Duration(float64(no.settings().Bounds.ApplyMs) * maxWatchPauseShare * float64(time.Millisecond))
 	return min(time.Duration(no.hostCount.Load())*watchPausePerHost, limit)
 }
@@ -335,7 +373,7 @@
 
 // recordDelay returns how long after a target version was set this host records it, if no other host has. It
 // differs by rank, so that usually only one host writes.
-func (no *Node) recordDelay() time.Duration { return time.Duration(no.rank()) * recordInterval }
+func (no *Node) recordDelay() time.Duration { return time.Duration(no.rank()) * recordDelayPerRank }
 
 func (no *Node) logLeadership(held bool, token uint64) {
 	no.log.WithFields(logrus.Fields{"held": held, "fence": token}).Info("Duty of weights changed hands.")
@@ -370,10 +408,6 @@
 			return
 		case <-no.ck.After(connectionSweepInterval):
 		}
-		live := make(map[attempt.Target]bool)
-		for _, vw := range no.fleet.All() {
-			live[attempt.Target{ID: vw.ID, Address: vw.Address, StartTimeMs: vw.StartTimeMs}] = !vw.Draining
-		}
-		no.pool.CloseIdleExcept(func(ta attempt.Target) bool { return live[ta] })
+		no.pool.CloseIdleExcept(func(ta attempt.Target) bool { return no.fleet.IsServing(ta.ID, ta.Address, ta.StartTimeMs) })
 	}
 }
--- a/internal/node/recording_peer_test.go
+++ b/internal/node/recording_peer_test.go
@@ -18,7 +18,7 @@
 
 func (*recordingPeer) LocalDigest() peering.Digest { return peering.Digest{Host: "listener"} }
 
-func (*recordingPeer) DrainCacheChanges() peering.Digest { return peering.Digest{} }
+func (*recordingPeer) DrainZoneState() peering.Digest { return peering.Digest{} }
 
 func (rp *recordingPeer) HandleDigest(dg peering.Digest) {
 	rp.mu.Lock()
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -70,11 +70,14 @@
 	return dg
 }
 
-// DrainCacheChanges returns the changes of the cache stores' contents that have not been returned before, at
-// most maxCacheChanges, and the states of the stores.
-func (ds *digestSource) DrainCacheChanges() peering.Digest {
+// DrainZoneState returns the changes of the cache stores' contents that have not been returned before, at
+// most maxCacheChanges, the states of the stores, and the recent changes of the metadata store.
+func (ds *digestSource) DrainZoneState() peering.Digest {
 	no := (*Node)(ds)
 	var dg peering.Digest
+	if up, ok := no.feedPublisher.Update(); ok {
+		dg.Feed = &up
+	}
 	changes, states := no.cache.DrainChanges(maxCacheChanges)
 	for _, st := range states {
 		dg.CacheStores = append(dg.CacheStores, peering.CacheStoreState(st))
@@ -104,6 +107,9 @@
 // HandleDigest merges a digest from a peer.
 func (ds *digestSource) HandleDigest(dg peering.Digest) {
 	no := (*Node)(ds)
+	if dg.Feed != nil {
+		no.feedSubscriber.Offer(dg.Host, *dg.Feed)
+	}
 	loads := make(map[peering.Key]fleet.Load, len(dg.Loads))
 	for _, ld := range dg.Loads {
 		loads[ld.Endpoint] = fleet.Load{Requests: ld.Requests, Tokens: ld.Tokens, PrefillTokens: ld.PrefillTokens}
@@ -113,8 +119,8 @@
 	if dg.Tier != peering.TierDirect {
 		from = "total"
 	}
-	no.fleet.SetPeerLoads(from, func(id string) (fleet.Load, bool) {
-		ld, ok := loads[peering.KeyOf(id)]
+	no.fleet.SetPeerLoads(from, func(idHash uint64) (fleet.Load, bool) {
+		ld, ok := loads[peering.Key(idHash)]
 		return ld, ok
 	})
 	no.cache.SetPeerTransfers(from, func(address string) int { return loads[peering.KeyOf(address)].Tokens })
--- a/internal/peering/load.go
+++ b/internal/peering/load.go
@@ -39,8 +39,12 @@
 	truncatedError struct{ element string }
 )
 
-// keyBytes is the length of an encoded key before base64.
-const keyBytes = 4
+const (
+	// keyBytes is the length of an encoded key before base64.
+	keyBytes = 4
+	// minLoadBytes is the least length of an encoded load.
+	minLoadBytes = keyBytes + 3
+)
 
 // KeyOf returns the key of an endpoint's identifier or a cache store's address.
 func KeyOf(id string) Key { return Key(rendezvous.Hash(id)) }
@@ -74,7 +78,7 @@
 	if err != nil {
 		return &LoadsError{cause: err}
 	}
-	var out Loads
+	out := make(Loads, 0, len(raw)/minLoadBytes)
 	for offset := 0; offset < len(raw); {
 		if len(raw)-offset < keyBytes {
 			return &LoadsError{offset: offset, cause: &truncatedError{"a key"}}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bergamotway/bergamotway/internal/changefeed"
 	"github.com/bergamotway/bergamotway/internal/clock"
 )
 
@@ -102,6 +103,9 @@
 		// EndpointClockMs is the endpoints' clock in milliseconds, read just before the revision of the gates.
 		EndpointClockMs int64 `json:"c,omitempty"`
 
+		// Feed holds recent changes of the metadata store. Only aggregators set it.
+		Feed *changefeed.Update `json:"u,omitempty"`
+
 		// IntervalMs is the digest interval of an aggregator. The hosts that report to it adopt it.
 		IntervalMs int64 `json:"b,omitempty"`
 
@@ -137,10 +141,11 @@
 	Delegate interface {
 		// LocalDigest returns the local host's own state. It is called from one goroutine.
 		LocalDigest() Digest
-		// DrainCacheChanges returns the states of the cache stores and the oldest changes that no earlier
-		// call has returned. It is called only while this host is a strong aggregator in a tiered exchange, from the
+		// DrainZoneState returns what only aggregators send: the states of the cache stores, the oldest
+		// changes of their contents that no earlier call has returned, and the recent changes of the metadata
+		// store. It is called only while this host is a strong aggregator in a tiered exchange, from the
 		// goroutine that calls LocalDigest.
-		DrainCacheChanges() Digest
+		DrainZoneState() Digest
 		// HandleDigest applies state received from peers. It is called from two goroutines.
 		HandleDigest(dg Digest)
 	}
@@ -160,6 +165,8 @@
 		mu    sync.Mutex
 		self  Peer
 		peers []Peer
+		// zone is derived from self and peers.
+		zone zoneRanking
 		// lastSequence holds the highest sequence number received, by host.
 		lastSequence map[string]uint64
 		// reports and zoneDigests hold the latest digests that an aggregator sums up, by host and by zone.
@@ -190,7 +197,7 @@
 		return nil, errors.Wrap(err, "peering: listen")
 	}
 	return &Exchange{
-		ck: ck, conn: conn, self: self, aggregatorSeenAt: ck.Now(),
+		ck: ck, conn: conn, self: self, zone: newZoneRanking(self, nil), aggregatorSeenAt: ck.Now(),
 		lastSequence: make(map[string]uint64), reports: make(map[string]receivedDigest), zoneDigests: make(map[string]receivedDigest),
 	}, nil
 }
@@ -202,7 +209,7 @@
 func (ex *Exchange) SetPeers(peers []Peer) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
-	ex.peers = peers
+	ex.peers, ex.zone = peers, newZoneRanking(ex.self, peers)
 }
 
 // Run sends the host's digests to the peers and passes the peers' digests to the host, until ctx ends.
@@ -249,7 +256,7 @@
 		if alone {
 			continue
 		}
-		out, local := ex.composeRound(delegate.LocalDigest(), delegate.DrainCacheChanges)
+		out, local := ex.composeRound(delegate.LocalDigest(), delegate.DrainZoneState)
 		if local != nil {
 			delegate.HandleDigest(*local)
 		}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -37,7 +37,7 @@
 	return peering.Digest{Host: ho.name, AppliedRevision: 7, Loads: peering.Loads{{Endpoint: engineKey, Requests: 1}}}
 }
 
-func (ho *host) DrainCacheChanges() peering.Digest { return peering.Digest{} }
+func (ho *host) DrainZoneState() peering.Digest { return peering.Digest{} }
 
 func (ho *host) HandleDigest(dg peering.Digest) {
 	ho.mu.Lock()
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -52,11 +52,22 @@
 	TierTotal
 )
 
-type receivedDigest struct {
-	digest     Digest
-	from       netip.AddrPort
-	receivedAt time.Time
-}
+type (
+	receivedDigest struct {
+		digest     Digest
+		from       netip.AddrPort
+		receivedAt time.Time
+	}
+
+	// zoneRanking holds the hosts of this host's zone by rank, its own rank from 0, and the hosts of the other
+	// zones that may be their aggregators. It changes only with the list of peers: at 300 hosts, sorting them
+	// for each digest took more time than the rest of the exchange.
+	zoneRanking struct {
+		hosts            []Peer
+		rank             int
+		otherAggregators []Peer
+	}
+)
 
 // mergeDigests combines digests into one. It adds up loads and counts, keeps the highest revision of each host,
 // and takes the union of the rest.
@@ -133,6 +144,21 @@
 	return out
 }
 
+// newZoneRanking returns the ranking for the host self with the given peers.
+func newZoneRanking(self Peer, peers []Peer) zoneRanking {
+	zr := zoneRanking{hosts: rankZone(append([]Peer{self}, peers...), self.Zone)}
+	zr.rank = slices.IndexFunc(zr.hosts, func(pe Peer) bool { return pe.Name == self.Name })
+	seenZones := map[string]bool{self.Zone: true}
+	for _, pe := range peers {
+		if !seenZones[pe.Zone] {
+			seenZones[pe.Zone] = true
+			candidates := rankZone(peers, pe.Zone)
+			zr.otherAggregators = append(zr.otherAggregators, candidates[:min(len(candidates), aggregatorCandidates)]...)
+		}
+	}
+	return zr
+}
+
 // rankZone returns the hosts of a zone in the order in which they become its aggregator: by descending
 // capacity, then by the hash of the name.
 func rankZone(hosts []Peer, zone string) []Peer {
@@ -170,24 +196,17 @@
 // isFlat reports whether there are few enough hosts for each to send its digests to all others.
 func (ex *Exchange) isFlat() bool { return len(ex.peers)+1 <= maxFlatHosts }
 
-// rankInZone returns the rank of this host in its zone, from 0, and the hosts of the zone in order of rank.
-func (ex *Exchange) rankInZone() (rank int, zoneHosts []Peer) {
-	zoneHosts = rankZone(append([]Peer{ex.self}, ex.peers...), ex.self.Zone)
-	return slices.IndexFunc(zoneHosts, func(pe Peer) bool { return pe.Name == ex.self.Name }), zoneHosts
-}
-
 // isStrong reports whether this host's capacity is close to the highest of its zone. A weak host on a
 // saturated link receives nothing from its aggregator. If it took over all duties of a strong one, it
 // would saturate the links of its zone as well.
 func (ex *Exchange) isStrong() bool {
-	_, zoneHosts := ex.rankInZone()
-	return ex.self.Capacity >= strongCapacityShare*zoneHosts[0].Capacity
+	return ex.self.Capacity >= strongCapacityShare*ex.zone.hosts[0].Capacity
 }
 
 // isAggregator reports whether this host acts as an aggregator, because it ranks first in its zone or
 // has received no total from a host that ranks before it for longer than its timeout.
 func (ex *Exchange) isAggregator() bool {
-	rank, _ := ex.rankInZone()
+	rank := ex.zone.rank
 	timeout := aggregatorTimeout + time.Duration(rank)*takeoverStagger
 	if !ex.isStrong() {
 		timeout = weakTakeoverTimeout + time.Duration(rank)*takeoverStagger
@@ -220,7 +239,7 @@
 
 // composeRound returns the digests of one round with their recipients. An aggregator also gets local,
 // the total that its own host must receive.
-func (ex *Exchange) composeRound(own Digest, drainCacheChanges func() Digest) (out []outgoing, local *Digest) {
+func (ex *Exchange) composeRound(own Digest, drainZoneState func() Digest) (out []outgoing, local *Digest) {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
 	if ex.isFlat() {
@@ -228,7 +247,7 @@
 		return []outgoing{{digest: own, peers: ex.peers}}, nil
 	}
 	now := ex.ck.Now()
-	rank, zoneHosts := ex.rankInZone()
+	rank, zoneHosts := ex.zone.rank, ex.zone.hosts
 	ex.sentLoads = own.Loads
 	own.Tier = TierReport
 	if !ex.isAggregator() {
@@ -250,15 +269,6 @@
 	}
 	zoneSum := mergeDigests(digests...)
 	zoneSum.Host, zoneSum.Tier, zoneSum.Zone = ex.self.Name, TierZone, ex.self.Zone
-	var otherAggregators []Peer
-	seenZones := make(map[string]bool)
-	for _, pe := range ex.peers {
-		if pe.Zone != ex.self.Zone && !seenZones[pe.Zone] {
-			seenZones[pe.Zone] = true
-			candidates := rankZone(ex.peers, pe.Zone)
-			otherAggregators = append(otherAggregators, candidates[:min(len(candidates), aggregatorCandidates)]...)
-		}
-	}
 	zoneSums := []Digest{zoneSum}
 	for name, re := range ex.zoneDigests {
 		if now.Sub(re.receivedAt) > maxReportAge {
@@ -271,8 +281,8 @@
 	total.Host, total.Tier, total.IntervalMs = ex.self.Name, TierTotal, ex.nextInterval().Milliseconds()
 	total.GateRevisionPlusOne, total.EndpointClockMs = own.GateRevisionPlusOne, own.EndpointClockMs
 	if ex.isStrong() {
-		changes := drainCacheChanges()
-		total.CacheStores, total.CacheChanges = changes.CacheStores, changes.CacheChanges
+		state := drainZoneState()
+		total.CacheStores, total.CacheChanges, total.Feed = state.CacheStores, state.CacheChanges, state.Feed
 	}
 	revisions, weights := total.HostRevisions, total.Weights
 	ex.rounds++
@@ -297,8 +307,8 @@
 	localTotal := total
 	localTotal.HostRevisions, localTotal.Weights = revisions, weights
 	localTotal.Loads = subtractLoads(total.Loads, own.Loads)
-	localTotal.CacheStores, localTotal.CacheChanges, localTotal.GateRevisionPlusOne = nil, nil, 0
-	return []outgoing{{digest: zoneSum, peers: otherAggregators}, {digest: total, peers: totalRecipients}}, &localTotal
+	localTotal.CacheStores, localTotal.CacheChanges, localTotal.Feed, localTotal.GateRevisionPlusOne = nil, nil, nil, 0
+	return []outgoing{{digest: zoneSum, peers: ex.zone.otherAggregators}, {digest: total, peers: totalRecipients}}, &localTotal
 }
 
 // accept stores a received report or zone sum for the next round, and returns any other digest for the
@@ -316,7 +326,7 @@
 		ex.zoneDigests[dg.Zone] = receivedDigest{digest: dg, receivedAt: now}
 		return Digest{}, false
 	case TierTotal:
-		rank, zoneHosts := ex.rankInZone()
+		rank, zoneHosts := ex.zone.rank, ex.zone.hosts
 		senderRank := slices.IndexFunc(zoneHosts, func(pe Peer) bool { return pe.Name == dg.Host })
 		if senderRank >= 0 && senderRank < rank {
 			ex.aggregatorSeenAt, ex.aggregator = now, dg.Host
