upgrade: check for the lease less often without it

Cause: on each host the upgrade controller woke ten times a second, the reclaimer and the recorder of versions three times, although they act on the leader only.

--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// reclaimInterval is the pause between two passes over the cache stores.
-	reclaimInterval = 400 * time.Millisecond
+	// reclaimInterval is the pause between two passes of the leader over the cache stores; the other hosts
+	// check every reclaimIdleInterval whether they have become the leader.
+	reclaimInterval     = 400 * time.Millisecond
+	reclaimIdleInterval = 2 * time.Second
 	// fetchDrainTime is the time that parts are kept after every host has seen the gate that excludes them,
 	// so that fetches which started before have ended. It covers the longest fetch, the time that its
 	// request is in transit, and a fetch that starts under a fetch grant, which is valid for 600 ms.
@@ -98,15 +100,18 @@
 
 // run lowers gates and frees the parts that they exclude, while this host is the leader, until ctx ends.
 func (rc *reclaimer) run(ctx context.Context) {
+	interval := reclaimInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-rc.no.ck.After(reclaimInterval):
+		case <-rc.no.ck.After(interval):
 		}
 		if _, ok := rc.no.leaderLease.FencingToken(); !ok {
+			interval = reclaimIdleInterval
 			continue
 		}
+		interval = reclaimInterval
 		rc.lowerGates(ctx)
 		if ga, ok := rc.settledGates(); ok {
 			rc.freeParts(ctx, ga)
--- a/internal/node/target.go
+++ b/internal/node/target.go
@@ -16,9 +16,10 @@
 	// maxRecordedVersions is how many versions of a model its record holds. Older ones have expired
 	// long before.
 	maxRecordedVersions = 6
-	// recordInterval is the pause between checks for versions that are not recorded yet. It is also
-	// the delay per rank before a host records a version.
-	recordInterval = 300 * time.Millisecond
+	// recordInterval is the pause between checks for versions that are not recorded yet, and
+	// recordDelayPerRank the delay per rank before a host records a version.
+	recordInterval     = time.Second
+	recordDelayPerRank = 300 * time.Millisecond
 )
 
 type (
@@ -125,7 +126,7 @@
 			return
 		case <-tv.ck.After(recordInterval):
 		}
-		for model, tx := range tv.pendingRecords(delay()) {
+		for model, tx := range tv.pendingRecords(delay) {
 			// A conflict means that another host has written the record. Versions that it lacks
 			// are written at the next check.
 			if _, err := st.Commit(ctx, tx); err == nil {
@@ -135,15 +136,15 @@
 	}
 }
 
-// pendingRecords returns, by model, the transactions that record target versions which were set at least delay
-// ago and are not recorded yet.
-func (tv *targetVersions) pendingRecords(delay time.Duration) map[string]metastore.Transaction {
+// pendingRecords returns, by model, the transactions that record target versions which were set at least the
+// delay ago and are not recorded yet.
+func (tv *targetVersions) pendingRecords(delay func() time.Duration) map[string]metastore.Transaction {
 	tv.mu.Lock()
 	defer tv.mu.Unlock()
 	now := tv.ck.Now()
 	out := make(map[string]metastore.Transaction)
 	for model, mt := range tv.models {
-		if mt.newest == 0 || mt.recorded[mt.newest] || now.Sub(mt.setAt[mt.newest]) < delay {
+		if mt.newest == 0 || mt.recorded[mt.newest] || now.Sub(mt.setAt[mt.newest]) < delay() {
 			continue
 		}
 		record := make(targetRecord, maxRecordedVersions)
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -20,6 +20,9 @@
 const (
 	// stepInterval is the interval between two steps of the controller; a load takes about 1.8 s.
 	stepInterval = 100 * time.Millisecond
+	// idleInterval is the time between two checks whether this host may send orders. A new leader waits longer
+	// than that before it may.
+	idleInterval = 500 * time.Millisecond
 	// parallelDivisor divides the number of engines to get the number that load weights at a time. If
 	// more do, each load takes longer, according to the specifications of the deployments in use.
 	parallelDivisor = 6
@@ -163,14 +166,16 @@
 func (co *Controller) Run(ctx context.Context) {
 	var eg errgroup.Group
 	for ctx.Err() == nil {
+		interval := idleInterval
 		if token, ok := co.opts.FencingToken(); ok {
+			interval = stepInterval
 			co.step(ctx, &eg, token)
 		} else {
 			co.clearJobs()
 		}
 		select {
 		case <-ctx.Done():
-		case <-co.opts.Clock.After(stepInterval):
+		case <-co.opts.Clock.After(interval):
 		}
 	}
 	// Calls in flight end with ctx.
