metastore: call a failing store less often behind a relay

Cause: while the store was down, each host retried about twice a second, hundreds of calls a second in a large fleet. Change: hosts with a feed back off up to 2 s; the relays keep the old limit, and their first success reaches the others through the feed, which ends the wait. Measured: test with a fake clock, 20 s without the store.

--- /dev/null
+++ b/internal/metastore/backoff_test.go
@@ -0,0 +1,94 @@
+package metastore_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/metastore"
+)
+
+var errDown = errors.New("down")
+
+type (
+	// failingStore lists an empty state and then fails all watches.
+	failingStore struct {
+		metastore.Store
+		watches atomic.Int64
+	}
+
+	// fakeFeed covers the state while covered is set.
+	fakeFeed struct{ covered atomic.Bool }
+)
+
+func (*failingStore) List(context.Context, string) (metastore.Snapshot, error) {
+	return metastore.Snapshot{Revision: 1}, nil
+}
+
+func (fs *failingStore) Watch(context.Context, string, uint64, time.Duration) (metastore.Changes, error) {
+	fs.watches.Add(1)
+	return metastore.Changes{}, metastore.NewUnavailableError("watch", false, errDown)
+}
+
+func (ff *fakeFeed) Next(ctx context.Context, revision uint64) (metastore.Changes, error) {
+	if !ff.covered.Load() {
+		return metastore.Changes{}, errDown
+	}
+	if revision == 1 {
+		return metastore.Changes{Events: []metastore.Event{{Item: metastore.Item{Key: "k", Value: []byte("v"), Revision: 2}}}, Revision: 2}, nil
+	}
+	<-ctx.Done()
+	return metastore.Changes{}, ctx.Err()
+}
+
+// followFailingStore follows a failing store for a simulated time and returns the number of watches.
+func followFailingStore(t *testing.T, opts metastore.FollowOptions, d time.Duration) (watches int64, rp *replica, ck *clockwork.FakeClock) {
+	const step = 20 * time.Millisecond
+	ck = clockwork.NewFakeClock()
+	st := &failingStore{}
+	opts.Store, opts.Clock = st, ck
+	rp = &replica{}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		metastore.Follow(ctx, opts, rp)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	for elapsed := time.Duration(0); elapsed < d; elapsed += step {
+		require.NoError(t, ck.BlockUntilContext(ctx, 1))
+		ck.Advance(step)
+	}
+	require.NoError(t, ck.BlockUntilContext(ctx, 1))
+	return st.watches.Load(), rp, ck
+}
+
+// Guards against a storm of calls while the store is down: hundreds of hosts each called it about twice a second.
+func TestHostsWithARelayCallAFailingStoreRarely(t *testing.T) {
+	t.Parallel()
+	const outage = 20 * time.Second
+	alone, _, _ := followFailingStore(t, metastore.FollowOptions{}, outage)
+	relay, _, _ := followFailingStore(t, metastore.FollowOptions{Feed: &fakeFeed{}, Relaying: func() bool { return true }}, outage)
+	covered, _, _ := followFailingStore(t, metastore.FollowOptions{Feed: &fakeFeed{}}, outage)
+	require.Greater(t, alone, int64(outage/time.Second))
+	require.Greater(t, relay, int64(outage/time.Second), "a relay must notice soon that the store is back")
+	require.LessOrEqual(t, covered, int64(outage/time.Second))
+}
+
+// A host that waits for its next call to the store follows the feed as soon as that covers the state.
+func TestFeedEndsTheBackoff(t *testing.T) {
+	t.Parallel()
+	ff := &fakeFeed{}
+	_, rp, ck := followFailingStore(t, metastore.FollowOptions{Feed: ff}, 10*time.Second)
+	ff.covered.Store(true)
+	ck.Advance(200 * time.Millisecond)
+	require.Eventually(t, func() bool { return rp.valueOf("k") == "v" }, waitTimeout, pollInterval)
+}
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -19,6 +19,11 @@
 	// row. The delay before the next call is random, between 0.5 and 1.5 times the backoff.
 	minRetryBackoff = 60 * time.Millisecond
 	maxRetryBackoff = 500 * time.Millisecond
+	// maxFeedRetryBackoff replaces maxRetryBackoff for hosts with a feed, which together would otherwise call
+	// a store that is down hundreds of times a second. They check every feedCheckInterval whether the feed
+	// covers the state again.
+	maxFeedRetryBackoff = 2 * time.Second
+	feedCheckInterval   = 200 * time.Millisecond
 )
 
 type (
@@ -70,6 +75,8 @@
 		WatchWait func() time.Duration
 		// Feed delivers changes without calls to the store; nil means that there is none.
 		Feed Feed
+		// Relaying reports whether other hosts depend on this one as a relay; nil means never.
+		Relaying func() bool
 		// Relay receives the responses of the store; it may be nil.
 		Relay Relay
 	}
@@ -109,13 +116,37 @@
 				opts.Relay.RecordFailure()
 			}
 			pause = lp.backoff/2 + rand.N(lp.backoff)
-			lp.backoff = min(2*lp.backoff, maxRetryBackoff)
+			lp.backoff = min(2*lp.backoff, opts.maxBackoff())
 		}
-		if pause > 0 {
-			select {
-			case <-ctx.Done():
-			case <-opts.Clock.After(pause):
-			}
+		lp.wait(ctx, pause, err != nil)
+	}
+}
+
+// maxBackoff returns the limit of the backoff. With a feed, the relays notice first that the store is back.
+func (opts FollowOptions) maxBackoff() time.Duration {
+	if opts.Feed != nil && !opts.isRelaying() {
+		return maxFeedRetryBackoff
+	}
+	return maxRetryBackoff
+}
+
+func (opts FollowOptions) isRelaying() bool { return opts.Relaying != nil && opts.Relaying() }
+
+// wait waits for the duration d. After a failure it returns as soon as the feed covers the state.
+func (lp *followLoop) wait(ctx context.Context, d time.Duration, failed bool) {
+	checksFeed := failed && lp.synced && lp.opts.Feed != nil
+	for d > 0 && ctx.Err() == nil {
+		step := d
+		if checksFeed {
+			step = min(d, feedCheckInterval)
+		}
+		select {
+		case <-ctx.Done():
+		case <-lp.opts.Clock.After(step):
+		}
+		d -= step
+		if checksFeed && lp.followFeed(ctx) {
+			return
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,7 +234,7 @@
 	eg.Go(func() error {
 		metastore.Follow(workCtx, metastore.FollowOptions{
 			Store: no.deps.Store, Clock: no.ck, BatchPause: no.watchPause, WatchWait: no.watchWait,
-			Feed: no.feedSubscriber, Relay: no.feedPublisher,
+			Feed: no.feedSubscriber, Relay: no.feedPublisher, Relaying: no.exchange.IsZoneAggregator,
 		}, no.storeState)
 		return nil
 	})
