cachedir: let a relayed state of a store age

Cause: an aggregator relays the state of a store that it knows, up to 1.6 s old, and the receivers counted its age from the arrival. They could fetch from a store for 3.2 s after its last report, in which it may restart and hold parts that are only being written. Change: the state carries its age. Measured: TestRelayedStateExpiresWithTheReport fails on the old code.

--- a/internal/cachedir/cachedir_test.go
+++ b/internal/cachedir/cachedir_test.go
@@ -281,6 +281,30 @@
 	require.Empty(t, receiver.Find(part("p")))
 }
 
+// Guards against a store that a host uses for twice the allowed time after its last report: relaying the state
+// made it look new. In the meantime the store may have restarted, and a part that is being saved again is not
+// whole.
+func TestRelayedStateExpiresWithTheReport(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	follower, receiver := newDirectory(ck), cachedir.New(ck)
+	receiver.Configure([]catalog.CacheStore{{Address: large, CapacityTokens: 1000}})
+	follower.SetCollectChanges(true)
+	addPart(follower, large, part("p"))
+	ck.Advance(time.Second)
+	changes, states := follower.DrainChanges(100)
+	for _, st := range states {
+		receiver.ApplyState(st)
+	}
+	for _, sc := range changes {
+		receiver.ApplyChange(sc.Address, sc.Change)
+	}
+	require.Len(t, receiver.Find(part("p")), 1)
+	require.Equal(t, follower.Clock(), receiver.Clock())
+	ck.Advance(time.Second)
+	require.Empty(t, follower.Find(part("p")))
+	require.Empty(t, receiver.Find(part("p")))
+}
+
 func TestSaltNamesModelVersionAndTeam(t *testing.T) {
 	model, version, ok := cachedir.ParseSalt(cachedir.Salt("crew", 7, "team.with.dots"))
 	require.True(t, ok)
--- a/internal/cachedir/relay.go
+++ b/internal/cachedir/relay.go
@@ -1,5 +1,7 @@
 package cachedir
 
+import "time"
+
 // maxPendingChanges bounds the number of changes that wait to be sent to other hosts; further changes are
 // dropped. A host that misses changes only prefills more itself.
 const maxPendingChanges = 20000
@@ -17,6 +19,8 @@
 		Epoch   uint64
 		// Clock is the endpoints' clock in milliseconds.
 		Clock int64
+		// Age is the time since the store reported its state.
+		Age time.Duration
 	}
 )
 
@@ -42,7 +46,7 @@
 	var states []State
 	for address, so := range di.stores {
 		if clock, ok := so.clockAt(now); ok && so.synced {
-			states = append(states, State{Address: address, Epoch: so.epoch, Clock: clock})
+			states = append(states, State{Address: address, Epoch: so.epoch, Clock: clock, Age: now.Sub(so.clockReadAt)})
 		}
 	}
 	return out, states
@@ -62,7 +66,8 @@
 		so.reset()
 	}
 	so.epoch, so.synced = st.Epoch, true
-	so.setClock(st.Clock, di.ck.Now())
+	// Time passes for the state while it is relayed, so that a store which may have restarted is not used.
+	so.setClock(st.Clock-st.Age.Milliseconds(), di.ck.Now().Add(-st.Age))
 	return unknown
 }
 
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -80,7 +80,9 @@
 	}
 	changes, states := no.cache.DrainChanges(maxCacheChanges)
 	for _, st := range states {
-		dg.CacheStores = append(dg.CacheStores, peering.CacheStoreState(st))
+		dg.CacheStores = append(dg.CacheStores, peering.CacheStoreState{
+			Address: st.Address, Epoch: st.Epoch, Clock: st.Clock, AgeMs: st.Age.Milliseconds(),
+		})
 	}
 	type group struct{ address, salt string }
 	groups := make(map[group]*peering.PartChanges)
@@ -161,7 +163,9 @@
 		return
 	}
 	for _, st := range dg.CacheStores {
-		if no.cache.ApplyState(cachedir.State(st)) {
+		if no.cache.ApplyState(cachedir.State{
+			Address: st.Address, Epoch: st.Epoch, Clock: st.Clock, Age: time.Duration(st.AgeMs) * time.Millisecond,
+		}) {
 			go no.listCacheStore(st.Address)
 		}
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -57,6 +57,8 @@
 		// Clock is the endpoints' clock when the digest is composed, in milliseconds, extrapolated from
 		// the last value that the store reported.
 		Clock int64 `json:"c"`
+		// AgeMs is the time since the store reported its state, in milliseconds.
+		AgeMs int64 `json:"g,omitempty"`
 	}
 
 	// PartChanges lists changes to the parts that a cache store holds under one salt.
