node: log when the change feed is used and when not

Cause: a host that turned from the relay to its own watch did so silently. Change: one line at each transition, with the reason and the revision. No decision changes.

--- a/internal/metastore/backoff_test.go
+++ b/internal/metastore/backoff_test.go
@@ -87,8 +87,15 @@
 func TestFeedEndsTheBackoff(t *testing.T) {
 	t.Parallel()
 	ff := &fakeFeed{}
-	_, rp, ck := followFailingStore(t, metastore.FollowOptions{Feed: ff}, 10*time.Second)
+	var feedChanges atomic.Int64
+	opts := metastore.FollowOptions{Feed: ff, OnFeedChange: func(err error) {
+		if err == nil {
+			feedChanges.Add(1)
+		}
+	}}
+	_, rp, ck := followFailingStore(t, opts, 10*time.Second)
 	ff.covered.Store(true)
 	ck.Advance(200 * time.Millisecond)
 	require.Eventually(t, func() bool { return rp.valueOf("k") == "v" }, waitTimeout, pollInterval)
+	require.Equal(t, int64(1), feedChanges.Load())
 }
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -75,6 +75,9 @@
 		WatchWait func() time.Duration
 		// Feed delivers changes without calls to the store; nil means that there is none.
 		Feed Feed
+		// OnFeedChange is called when the feed begins to cover the state, with a nil error, and when it
+		// ceases to, with the reason; nil means that nobody is told.
+		OnFeedChange func(err error)
 		// Relaying reports whether other hosts depend on this one as a relay; nil means never.
 		Relaying func() bool
 		// Relay receives the responses of the store; it may be nil.
@@ -82,12 +85,13 @@
 	}
 
 	// followLoop is the state of Follow: the revision up to which all changes have been applied, whether
-	// the complete state has been listed, and the backoff after the next failure.
+	// the complete state has been listed, whether the feed covers it, and the backoff after the next failure.
 	followLoop struct {
 		opts     FollowOptions
 		fo       Follower
 		revision uint64
 		synced   bool
+		covered  bool
 		backoff  time.Duration
 	}
 )
@@ -170,6 +174,12 @@
 // followFeed waits for changes from the feed and applies them. It returns false if the store must be asked.
 func (lp *followLoop) followFeed(ctx context.Context) bool {
 	ch, err := lp.opts.Feed.Next(ctx, lp.revision)
+	if covered := err == nil; covered != lp.covered && ctx.Err() == nil {
+		lp.covered = covered
+		if lp.opts.OnFeedChange != nil {
+			lp.opts.OnFeedChange(err)
+		}
+	}
 	if err != nil {
 		var lost interface{ IsStoreLost() bool }
 		if errors.As(err, &lost) && lost.IsStoreLost() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,7 +234,7 @@
 	eg.Go(func() error {
 		metastore.Follow(workCtx, metastore.FollowOptions{
 			Store: no.deps.Store, Clock: no.ck, BatchPause: no.watchPause, WatchWait: no.watchWait,
-			Feed: no.feedSubscriber, Relay: no.feedPublisher, Relaying: no.exchange.IsZoneAggregator,
+			Feed: no.feedSubscriber, OnFeedChange: no.logFeedChange, Relay: no.feedPublisher, Relaying: no.exchange.IsZoneAggregator,
 		}, no.storeState)
 		return nil
 	})
@@ -375,6 +375,16 @@
 // differs by rank, so that usually only one host writes.
 func (no *Node) recordDelay() time.Duration { return time.Duration(no.rank()) * recordDelayPerRank }
 
+// logFeedChange logs that this host follows a relay from now on, or why it watches the metadata store itself.
+func (no *Node) logFeedChange(err error) {
+	lg := no.log.WithField("revision", no.storeState.seenRevision.Load())
+	if err != nil {
+		lg.WithField("cause", err.Error()).Info("Change feed is not used.")
+		return
+	}
+	lg.Info("Change feed is used.")
+}
+
 func (no *Node) logLeadership(held bool, token uint64) {
 	no.log.WithFields(logrus.Fields{"held": held, "fence": token}).Info("Duty of weights changed hands.")
 }
