--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -124,6 +124,15 @@
 	return no, cancel
 }
 
+// registeredHosts returns the number of hosts with a registration, named host-0 and so on.
+func (env *testEnv) registeredHosts() int {
+	count := 0
+	for env.store.Value(fmt.Sprint("bergamotway/hosts/host-", count)) != nil {
+		count++
+	}
+	return count
+}
+
 // startReadyHost starts a host and waits until it is ready, and so knows all endpoints.
 func (env *testEnv) startReadyHost(name string) *node.Node {
 	no, _ := env.startHost(name)
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -165,6 +165,29 @@
 	}, waitTimeout, pollInterval)
 }
 
+// Guards against a lease for the duty of weights that every host requests when it starts: three calls to the
+// metadata store for each of 295 hosts.
+func TestStartingHostsDoNotAllRequestTheLeaderLease(t *testing.T) {
+	t.Parallel()
+	const hosts = 5
+	env := newTestEnv(t, 1, 0)
+	env.writeConfiguration()
+	leader := env.startReadyHost("host-0")
+	require.Eventually(t, func() bool { return env.store.Value("bergamotway/leader/weights") != nil }, waitTimeout, pollInterval)
+	before := env.store.GrantedLeases()
+	started := []*node.Node{leader}
+	for i := range hosts {
+		no, _ := env.startHost("host-" + strconv.Itoa(i+1))
+		started = append(started, no)
+	}
+	for _, no := range started {
+		env.awaitReadiness(no, true)
+	}
+	require.Eventually(t, func() bool { return env.registeredHosts() == hosts+1 }, waitTimeout, pollInterval)
+	// Each host requests one lease, for its registration. The leader may lose its lease on a slow machine.
+	require.Less(t, env.store.GrantedLeases()-before, hosts+hosts/2)
+}
+
 func TestCachePartsOfOlderWeightsAreFreed(t *testing.T) {
 	t.Parallel()
 	env := newTestEnv(t, 1, 0)
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -139,6 +139,13 @@
 	return st.callCount
 }
 
+// GrantedLeases returns the number of leases granted so far.
+func (st *Store) GrantedLeases() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return int(st.lastLeaseID)
+}
+
 // Put writes value as JSON, as the operator or an endpoint does, and returns the new revision.
 func (st *Store) Put(key string, value any) (uint64, error) {
 	data, err := json.Marshal(value)
