entry: give the test of refusals a long read timeout

The fixture's read timeout of 500 ms had expired before the header was read, and 400 is the right refusal for that; with a read timeout of 10 ms the same failure shows each time. Change: that test has a read timeout of 30 s. The checks are the same.

--- a/internal/entry/linger_test.go
+++ b/internal/entry/linger_test.go
@@ -22,7 +22,8 @@
 		clients   = 12
 		bodyBytes = 8 << 20
 	)
-	fx := newFixture(t)
+	// With a short timeout, a host under load may rightly refuse a header that arrives late.
+	fx := newFixtureWithReadTimeout(t, 30*time.Second)
 	body := strings.Repeat("a", bodyBytes)
 	statuses := make([]int, clients)
 	var wg sync.WaitGroup
--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -118,6 +118,10 @@
 func (*fakeStream) StartID() string { return "start" }
 
 func newFixture(t *testing.T) *fixture {
+	return newFixtureWithReadTimeout(t, 500*time.Millisecond)
+}
+
+func newFixtureWithReadTimeout(t *testing.T, readTimeout time.Duration) *fixture {
 	t.Helper()
 	fx := &fixture{tokenCount: 3, tokenInterval: time.Millisecond}
 	sn := configuration.NewSnapshot(1, "test", configuration.Document{
@@ -142,7 +146,7 @@
 		Chat:    entry.ChatChain(fx, snapshot, tr, admission.NewLimiter(clk, 8), runner),
 		Service: entry.ServiceChain(fx, snapshot, entry.ServiceOptions{Clock: clk}),
 		Clock:   clk, Meter: meter, Log: lg, MaxBodyBytes: maxBodyBytes, MaxHeaderBytes: 4096,
-		ReadTimeout: 500 * time.Millisecond, WriteTimeout: 300 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
+		ReadTimeout: readTimeout, WriteTimeout: 300 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
 		DrainTime: 5 * time.Second,
 	})
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
