weights: move the target versions of the node to a package of their own

No change of behaviour. A host's view of the target versions can now be tested with a clock and a store in memory; two tests show what holds today: older weights expire, and a restarted host takes their age from the record.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
 	"github.com/bergamotway/bergamotway/internal/upgrade"
+	"github.com/bergamotway/bergamotway/internal/weights"
 )
 
 const (
@@ -70,6 +71,8 @@
 	// leaderDelayPerRank is how long a host waits, per host that ranks before it, before it tries to become
 	// leader.
 	leaderDelayPerRank = 120 * time.Millisecond
+	// recordDelayPerRank is the delay per rank before a host records a target version.
+	recordDelayPerRank = 300 * time.Millisecond
 )
 
 type (
@@ -144,8 +147,11 @@
 	no.storeState = &storeState{
 		log: lg.WithField("part", "state"), decoder: deps.Decoder, fleet: no.fleet, host: st.Name,
 		applyCatalog: no.applyCatalog, applyPeers: no.setPeers,
-		hosts: make(map[string]peering.Peer), targets: newTargetVersions(ck),
+		hosts: make(map[string]peering.Peer),
 	}
+	no.storeState.targets = weights.New(weights.Options{
+		Clock: ck, Store: deps.Store, RecordPrefix: prefixTargets, RecordDelay: no.recordDelay, MaxAge: no.maxWeightsAge,
+	})
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
 		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, OnChange: no.logLeadership,
@@ -169,11 +175,7 @@
 		BodyMemoryBytes: int64(float64(st.MemoryMiB) * mebibyte * bodyMemoryShare),
 		Log:             lg.WithField("part", "gateway"), Meter: deps.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		HostCount:     func() int { return int(no.hostCount.Load()) },
-		TargetVersion: no.storeState.targets.target,
-		IsVersionExpired: func(model string, version uint64) bool {
-			limit := time.Duration(float64(no.settings().Bounds.WeightsMs) * staleWeightsShare * float64(time.Millisecond))
-			return no.storeState.targets.isExpired(model, version, limit)
-		},
+		TargetVersion: no.storeState.targets.Target, IsVersionExpired: no.storeState.targets.IsExpired,
 	})
 	if err := no.listen(); err != nil {
 		return nil, err
@@ -228,7 +230,7 @@
 	eg.Go(func() error { no.maintainRegistration(workCtx); return nil })
 	eg.Go(func() error { no.sweepConnections(workCtx); return nil })
 	eg.Go(func() error { no.followCacheStores(workCtx); return nil })
-	eg.Go(func() error { no.storeState.targets.runRecorder(workCtx, no.deps.Store, no.recordDelay); return nil })
+	eg.Go(func() error { no.storeState.targets.Run(workCtx); return nil })
 	leaderCtx, endLeading := context.WithCancel(workCtx)
 	defer endLeading()
 	eg.Go(func() error { no.leaderLease.Run(leaderCtx); return nil })
@@ -338,6 +340,11 @@
 // differs by rank, so that usually only one host writes.
 func (no *Node) recordDelay() time.Duration { return time.Duration(no.rank()) * recordDelayPerRank }
 
+// maxWeightsAge returns how long after the operator has selected a newer version older weights are used.
+func (no *Node) maxWeightsAge() time.Duration {
+	return time.Duration(float64(no.settings().Bounds.WeightsMs) * staleWeightsShare * float64(time.Millisecond))
+}
+
 func (no *Node) logLeadership(held bool, token uint64) {
 	no.log.WithFields(logrus.Fields{"held": held, "fence": token}).Info("Duty of weights changed hands.")
 }
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -132,7 +132,7 @@
 	maps.Copy(next, current)
 	for _, salt := range salts {
 		model, version, ok := cachedir.ParseSalt(salt)
-		if !ok || version >= rc.no.storeState.targets.target(model) {
+		if !ok || version >= rc.no.storeState.targets.Target(model) {
 			continue
 		}
 		next[salt] = next.Lower(salt, rc.openShare(model, version), func() []string { return rc.no.cache.HotParts(salt, maxHotParts) })
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -14,6 +14,7 @@
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
+	"github.com/bergamotway/bergamotway/internal/weights"
 )
 
 const (
@@ -71,7 +72,7 @@
 
 		mu      sync.Mutex
 		hosts   map[string]peering.Peer
-		targets *targetVersions
+		targets *weights.Targets
 		// unreachable is set after a failed call to the store, until a call succeeds.
 		unreachable bool
 		// hasLeader reports whether the upgrade leader's item exists.
@@ -231,7 +232,7 @@
 			ss.log.WithField("cause", err.Error()).Error("Target version of a model is invalid.")
 			return
 		}
-		newer := ss.targets.setTarget(model, version)
+		newer := ss.targets.Select(weights.Selection{Model: model, Version: version, Item: it})
 		if newer {
 			ss.setTargetVersion(model, version)
 			ss.log.WithFields(logrus.Fields{"model": model, "version": version, "revision": it.Revision}).Info("Weights were named.")
@@ -246,12 +247,8 @@
 	if it.Key == keyGates && len(it.Value) > 0 {
 		ss.applyGates(it)
 	}
-	model, ok := strings.CutPrefix(it.Key, prefixTargets)
-	if !ok || len(it.Value) == 0 {
-		return
-	}
-	if err := ss.targets.mergeRecord(model, it.Value, it.Revision); err != nil {
-		ss.log.WithFields(logrus.Fields{"model": model, "cause": err.Error()}).Warn("Record of target versions is invalid.")
+	if err := ss.targets.MergeRecord(it); err != nil {
+		ss.log.WithFields(logrus.Fields{"key": it.Key, "cause": err.Error()}).Warn("Record of target versions is invalid.")
 	}
 }
 
--- /dev/null
+++ b/internal/weights/host_test.go
@@ -0,0 +1,137 @@
+package weights_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/metastore"
+	"github.com/bergamotway/bergamotway/internal/weights"
+)
+
+const (
+	modelName    = "crew"
+	recordPrefix = "hosts/named/"
+	selectionKey = "operator/version/" + modelName
+	maxAge       = 15 * time.Second
+)
+
+type (
+	// memoryStore is a metadata store in memory. Only its Commit method is used by hosts.
+	memoryStore struct {
+		metastore.Store
+
+		mu       sync.Mutex
+		revision uint64
+		items    map[string]metastore.Item
+	}
+
+	// host is a process that follows a memory store: it applies changes as soon as deliver is called.
+	host struct {
+		t       *testing.T
+		st      *memoryStore
+		targets *weights.Targets
+		applied uint64
+		stop    func()
+	}
+)
+
+func newMemoryStore() *memoryStore { return &memoryStore{items: make(map[string]metastore.Item)} }
+
+// Commit applies a transaction if its conditions hold.
+func (st *memoryStore) Commit(_ context.Context, tx metastore.Transaction) (uint64, error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, pc := range tx.Preconditions {
+		if st.items[pc.Key].Revision != pc.Revision {
+			return 0, &metastore.ConflictError{}
+		}
+	}
+	st.revision++
+	for _, pu := range tx.Puts {
+		st.items[pu.Key] = metastore.Item{Key: pu.Key, Value: pu.Value, Revision: st.revision}
+	}
+	return st.revision, nil
+}
+
+// selectVersion writes the operator's choice of a version.
+func (st *memoryStore) selectVersion(version uint64) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.revision++
+	st.items[selectionKey] = metastore.Item{Key: selectionKey, Value: fmt.Append(nil, version), Revision: st.revision}
+}
+
+// changes returns the items that changed after revision, oldest first.
+func (st *memoryStore) changes(revision uint64) []metastore.Item {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var out []metastore.Item
+	for _, it := range st.items {
+		if it.Revision > revision {
+			out = append(out, it)
+		}
+	}
+	slices.SortFunc(out, func(a, b metastore.Item) int { return int(a.Revision) - int(b.Revision) })
+	return out
+}
+
+// startHost starts a process that reads the store and then records versions until it is stopped.
+func startHost(t *testing.T, ck *clockwork.FakeClock, st *memoryStore) *host {
+	ho := &host{t: t, st: st}
+	ho.targets = weights.New(weights.Options{
+		Clock: ck, Store: st, RecordPrefix: recordPrefix,
+		RecordDelay: func() time.Duration { return 0 }, MaxAge: func() time.Duration { return maxAge },
+	})
+	ho.deliver()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		ho.targets.Run(ctx)
+	}()
+	ho.stop = func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(ho.stop)
+	return ho
+}
+
+// deliver applies the changes of the store since the last call.
+func (ho *host) deliver() {
+	for _, it := range ho.st.changes(ho.applied) {
+		ho.applied = it.Revision
+		if strings.HasPrefix(it.Key, recordPrefix) {
+			require.NoError(ho.t, ho.targets.MergeRecord(it))
+			continue
+		}
+		if it.Key != selectionKey {
+			continue
+		}
+		var version uint64
+		_, err := fmt.Sscan(string(it.Value), &version)
+		require.NoError(ho.t, err)
+		ho.targets.Select(weights.Selection{Model: modelName, Version: version, Item: it})
+	}
+}
+
+// run lets a duration pass in steps, after each of which the hosts have applied all changes.
+func run(t *testing.T, ck *clockwork.FakeClock, d time.Duration, hosts ...*host) {
+	const step = 100 * time.Millisecond
+	for range d / step {
+		require.NoError(t, ck.BlockUntilContext(t.Context(), len(hosts)))
+		ck.Advance(step)
+		require.NoError(t, ck.BlockUntilContext(t.Context(), len(hosts)))
+		for _, ho := range hosts {
+			ho.deliver()
+		}
+	}
+}
--- /dev/null
+++ b/internal/weights/targets_test.go
@@ -0,0 +1,42 @@
+package weights_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+)
+
+func TestOlderVersionExpires(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	ho := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, ho)
+	require.Equal(t, uint64(1), ho.targets.Target(modelName))
+	st.selectVersion(2)
+	ho.deliver()
+	require.Equal(t, uint64(2), ho.targets.Target(modelName))
+	run(t, ck, maxAge-100*time.Millisecond, ho)
+	require.False(t, ho.targets.IsExpired(modelName, 1))
+	run(t, ck, 200*time.Millisecond, ho)
+	require.True(t, ho.targets.IsExpired(modelName, 1))
+	require.False(t, ho.targets.IsExpired(modelName, 2))
+}
+
+func TestRestartedHostReadsTheAgeFromTheRecord(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	first := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, first)
+	st.selectVersion(2)
+	first.deliver()
+	run(t, ck, 3*time.Second, first)
+	first.stop()
+	ck.Advance(5 * time.Second)
+	second := startHost(t, ck, st)
+	run(t, ck, maxAge-8100*time.Millisecond, second)
+	require.False(t, second.targets.IsExpired(modelName, 1))
+	run(t, ck, 200*time.Millisecond, second)
+	require.True(t, second.targets.IsExpired(modelName, 1))
+}
