weights: log from when a host counts the age of a version

Callers got answers from weights that had been replaced too long before; the logs could not tell whether a host had counted the age of the version from its own reading or from the record, nor when it ceased to use older weights. Now "Weights were named." has age-ms and age-from, and "Older weights are no longer used." follows once for each version.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,7 @@
 	}
 	no.storeState.targets = weights.New(weights.Options{
 		Clock: ck, Store: deps.Store, RecordPrefix: prefixTargets, RecordDelay: no.recordDelay, MaxAge: no.maxWeightsAge,
+		Log: lg.WithField("part", "state"),
 	})
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -232,10 +232,8 @@
 			ss.log.WithField("cause", err.Error()).Error("Target version of a model is invalid.")
 			return
 		}
-		newer := ss.targets.Select(weights.Selection{Model: model, Version: version, Item: it})
-		if newer {
+		if ss.targets.Select(weights.Selection{Model: model, Version: version, Item: it}) {
 			ss.setTargetVersion(model, version)
-			ss.log.WithFields(logrus.Fields{"model": model, "version": version, "revision": it.Revision}).Info("Weights were named.")
 		}
 	case ItemOther, ItemEvacuation:
 	}
--- a/internal/weights/host_test.go
+++ b/internal/weights/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/metastore"
@@ -85,10 +87,13 @@
 
 // startHost starts a process that reads the store and then records versions until it is stopped.
 func startHost(t *testing.T, ck *clockwork.FakeClock, st *memoryStore) *host {
+	lg := logrus.New()
+	lg.SetOutput(io.Discard)
 	ho := &host{t: t, st: st}
 	ho.targets = weights.New(weights.Options{
 		Clock: ck, Store: st, RecordPrefix: recordPrefix,
 		RecordDelay: func() time.Duration { return 0 }, MaxAge: func() time.Duration { return maxAge },
+		Log: lg,
 	})
 	ho.deliver()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/metastore"
@@ -44,6 +45,7 @@
 		RecordDelay func() time.Duration
 		// MaxAge returns how long after a newer version became the target older weights may be used.
 		MaxAge func() time.Duration
+		Log    logrus.FieldLogger
 	}
 
 	// Targets holds the target versions of all models. The times are recorded in the metadata store, so that
@@ -62,6 +64,8 @@
 		since    map[uint64]time.Time
 		recorded map[uint64]bool
 		revision uint64
+		// expired is the newest version whose predecessors have been logged as expired.
+		expired uint64
 	}
 
 	// record is the stored record of one model: since when each version has been the target, in Unix
@@ -84,9 +88,14 @@
 		return false
 	}
 	mo.newest = se.Version
+	source := "record"
 	if _, ok := mo.since[se.Version]; !ok {
-		mo.since[se.Version] = ta.opts.Clock.Now()
+		mo.since[se.Version], source = ta.opts.Clock.Now(), "reading"
 	}
+	ta.opts.Log.WithFields(logrus.Fields{
+		"model": se.Model, "version": se.Version, "revision": se.Item.Revision,
+		"age-ms": ta.opts.Clock.Now().Sub(mo.since[se.Version]).Milliseconds(), "age-from": source,
+	}).Info("Weights were named.")
 	return true
 }
 
@@ -154,6 +163,7 @@
 			return
 		case <-ta.opts.Clock.After(recordInterval):
 		}
+		ta.logExpired()
 		for name, tx := range ta.pendingRecords() {
 			// A conflict means that another host has written the record. Versions that it lacks
 			// are written at the next check.
@@ -164,6 +174,23 @@
 	}
 }
 
+// logExpired logs, once for each target, that older weights are no longer used.
+func (ta *Targets) logExpired() {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	now := ta.opts.Clock.Now()
+	for name, mo := range ta.models {
+		age := now.Sub(mo.since[mo.newest])
+		if mo.expired == mo.newest || age <= ta.opts.MaxAge() {
+			continue
+		}
+		mo.expired = mo.newest
+		ta.opts.Log.WithFields(logrus.Fields{
+			"model": name, "version": mo.newest, "age-ms": age.Milliseconds(), "max-age-ms": ta.opts.MaxAge().Milliseconds(),
+		}).Info("Older weights are no longer used.")
+	}
+}
+
 // pendingRecords returns, by model, the transactions that record targets which are not recorded yet and are old
 // enough for this host to do so.
 func (ta *Targets) pendingRecords() map[string]metastore.Transaction {
