weights: test that a version named while all hosts were down expires in time

The test fails: of three downtimes (1 s, 6 s, 1 min) none is counted, since a restarted host takes the moment at which it reads the version as the beginning of its age. No host was there to write the record.

--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -40,3 +40,22 @@
 	run(t, ck, 200*time.Millisecond, second)
 	require.True(t, second.targets.IsExpired(modelName, 1))
 }
+
+func TestVersionNamedWhileAllHostsWereDownExpiresInTime(t *testing.T) {
+	for _, downtime := range []time.Duration{time.Second, 6 * time.Second, time.Minute} {
+		t.Run(downtime.String(), func(t *testing.T) {
+			ck, st := clockwork.NewFakeClock(), newMemoryStore()
+			st.selectVersion(1)
+			first, second := startHost(t, ck, st), startHost(t, ck, st)
+			run(t, ck, 10*time.Second, first, second)
+			first.stop()
+			second.stop()
+			st.selectVersion(2)
+			ck.Advance(downtime)
+			restarted := startHost(t, ck, st)
+			run(t, ck, maxAge+100*time.Millisecond-downtime, restarted)
+			require.True(t, restarted.targets.IsExpired(modelName, 1))
+			require.False(t, restarted.targets.IsExpired(modelName, 2))
+		})
+	}
+}
