weights: count the age of an unseen version from the last moment before it

What callers saw: answers from weights that had been replaced more than 15 s before.

Cause: the age of a version was the time since this process had read it. The class of fault: an event of the outside is dated by the moment at which a process happens to see it, and what would correct that lives in memory.

Change: the hosts write a checkpoint to the metadata store every two to three seconds, on condition that the items which select versions are the ones that they know, and that all of these are recorded. A version with a later revision was selected after the checkpoint. A host that reads a version without a record, and was not there when it was selected, counts from the checkpoint or from its last contact, whichever is later. The age can then be overestimated, never underestimated. Ages are measured by the clock that runs during a suspension, as a suspended host made the same mistake.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,8 +150,8 @@
 		hosts: make(map[string]peering.Peer),
 	}
 	no.storeState.targets = weights.New(weights.Options{
-		Clock: ck, Store: deps.Store, RecordPrefix: prefixTargets, RecordDelay: no.recordDelay, MaxAge: no.maxWeightsAge,
-		Log: lg.WithField("part", "state"),
+		Clock: ck, SinceBoot: clock.SinceBoot, Store: deps.Store, RecordPrefix: prefixTargets, CheckpointKey: keyCheckpoint,
+		RecordDelay: no.recordDelay, MaxAge: no.maxWeightsAge, Log: lg.WithField("part", "state"),
 	})
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -21,6 +21,7 @@
 	prefixOwn        = "bergamotway/"
 	prefixHosts      = prefixOwn + "hosts/"
 	prefixTargets    = prefixOwn + "named/"
+	keyCheckpoint    = prefixOwn + "checkpoint"
 	keyGates         = prefixOwn + "cache/gates"
 	keyUpgradeLeader = prefixOwn + "leader/weights"
 	// staleWeightsShare is the share of Bounds.WeightsMs after which older weights are no longer used.
@@ -101,6 +102,11 @@
 	evacuated := make(map[string]bool)
 	hosts := make(map[string]peering.Peer)
 	leaderFound := false
+	ss.targets.Interrupt()
+	// The records and the checkpoint say how old the selected versions may be.
+	for _, it := range sn.Items {
+		ss.applyHostItem(it)
+	}
 	for _, it := range sn.Items {
 		if _, ok := ss.decoder.EndpointID(it.Key); ok {
 			en, err := ss.decoder.Entry(it.Key, it.Value)
@@ -121,7 +127,6 @@
 			}
 		}
 		leaderFound = leaderFound || it.Key == keyUpgradeLeader
-		ss.applyHostItem(it)
 		ss.applyOperatorItem(it)
 	}
 	ss.fleet.Replace(entries)
@@ -180,6 +185,7 @@
 
 // CallSucceeded records that the store has answered.
 func (ss *storeState) CallSucceeded() {
+	ss.targets.Confirm()
 	if outage := ss.fleet.StoreReached(); outage > 0 || ss.unreachable {
 		ss.unreachable = false
 		ss.log.WithFields(logrus.Fields{"dependency": "metadata-store", "away-ms": outage.Milliseconds()}).Info("Dependency is back.")
@@ -188,6 +194,7 @@
 
 // CallFailed records that a call to the store has failed.
 func (ss *storeState) CallFailed(err error) {
+	ss.targets.Interrupt()
 	ss.fleet.StoreLost()
 	if !ss.unreachable {
 		ss.unreachable = true
@@ -239,13 +246,13 @@
 	}
 }
 
-// applyHostItem applies the items that hosts write for each other: the times at which target versions
-// were set, and the cache gates.
+// applyHostItem applies the items that hosts write for each other: since when versions have been selected, and
+// the cache gates.
 func (ss *storeState) applyHostItem(it metastore.Item) {
 	if it.Key == keyGates && len(it.Value) > 0 {
 		ss.applyGates(it)
 	}
-	if err := ss.targets.MergeRecord(it); err != nil {
+	if err := ss.targets.ApplyItem(it); err != nil {
 		ss.log.WithFields(logrus.Fields{"key": it.Key, "cause": err.Error()}).Warn("Record of target versions is invalid.")
 	}
 }
--- a/internal/weights/host_test.go
+++ b/internal/weights/host_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -19,10 +18,12 @@
 )
 
 const (
-	modelName    = "crew"
-	recordPrefix = "hosts/named/"
-	selectionKey = "operator/version/" + modelName
-	maxAge       = 15 * time.Second
+	modelName     = "crew"
+	recordPrefix  = "hosts/named/"
+	checkpointKey = "hosts/checkpoint"
+	selectionKey  = "operator/version/" + modelName
+	maxAge        = 15 * time.Second
+	step          = 100 * time.Millisecond
 )
 
 type (
@@ -33,6 +34,7 @@
 		mu       sync.Mutex
 		revision uint64
 		items    map[string]metastore.Item
+		commits  int
 	}
 
 	// host is a process that follows a memory store: it applies changes as soon as deliver is called.
@@ -42,6 +44,8 @@
 		targets *weights.Targets
 		applied uint64
 		stop    func()
+		// suspended is how long the machine of the host has been suspended.
+		suspended time.Duration
 	}
 )
 
@@ -57,6 +61,7 @@
 		}
 	}
 	st.revision++
+	st.commits++
 	for _, pu := range tx.Puts {
 		st.items[pu.Key] = metastore.Item{Key: pu.Key, Value: pu.Value, Revision: st.revision}
 	}
@@ -89,9 +94,11 @@
 func startHost(t *testing.T, ck *clockwork.FakeClock, st *memoryStore) *host {
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
+	boot := ck.Now().Add(-time.Hour)
 	ho := &host{t: t, st: st}
+	sinceBoot := func() time.Duration { return ck.Now().Sub(boot) + ho.suspended }
 	ho.targets = weights.New(weights.Options{
-		Clock: ck, Store: st, RecordPrefix: recordPrefix,
+		Clock: ck, SinceBoot: sinceBoot, Store: st, RecordPrefix: recordPrefix, CheckpointKey: checkpointKey,
 		RecordDelay: func() time.Duration { return 0 }, MaxAge: func() time.Duration { return maxAge },
 		Log: lg,
 	})
@@ -114,10 +121,7 @@
 func (ho *host) deliver() {
 	for _, it := range ho.st.changes(ho.applied) {
 		ho.applied = it.Revision
-		if strings.HasPrefix(it.Key, recordPrefix) {
-			require.NoError(ho.t, ho.targets.MergeRecord(it))
-			continue
-		}
+		require.NoError(ho.t, ho.targets.ApplyItem(it))
 		if it.Key != selectionKey {
 			continue
 		}
@@ -126,17 +130,24 @@
 		require.NoError(ho.t, err)
 		ho.targets.Select(weights.Selection{Model: modelName, Version: version, Item: it})
 	}
+	ho.targets.Confirm()
 }
 
 // run lets a duration pass in steps, after each of which the hosts have applied all changes.
 func run(t *testing.T, ck *clockwork.FakeClock, d time.Duration, hosts ...*host) {
-	const step = 100 * time.Millisecond
 	for range d / step {
-		require.NoError(t, ck.BlockUntilContext(t.Context(), len(hosts)))
-		ck.Advance(step)
-		require.NoError(t, ck.BlockUntilContext(t.Context(), len(hosts)))
+		advance(t, ck, step, len(hosts))
 		for _, ho := range hosts {
 			ho.deliver()
 		}
 	}
 }
+
+// advance lets a duration pass in steps, after each of which the given number of hosts have done what was due.
+func advance(t *testing.T, ck *clockwork.FakeClock, d time.Duration, hosts int) {
+	for range d / step {
+		require.NoError(t, ck.BlockUntilContext(t.Context(), hosts))
+		ck.Advance(step)
+		require.NoError(t, ck.BlockUntilContext(t.Context(), hosts))
+	}
+}
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -22,6 +22,14 @@
 	maxRecordedVersions = 6
 	// recordInterval is the pause between checks for versions that are not recorded yet.
 	recordInterval = time.Second
+	// checkpointInterval is the time between two checkpoints. By so much the age of a version may be
+	// overestimated after all hosts were down.
+	checkpointInterval = 2 * time.Second
+	// maxConfirmInterval is the longest time between two confirmations while the host follows the metadata store.
+	maxConfirmInterval = 2 * time.Second
+	// maxCheckpointModels is the largest number of models with which checkpoints are written: a transaction
+	// has room for so many preconditions beside that on the checkpoint itself.
+	maxCheckpointModels = 31
 )
 
 type (
@@ -36,12 +44,17 @@
 	// Options configures Targets. All fields are required.
 	Options struct {
 		Clock clock.Clock
+		// SinceBoot returns the boot-time clock. It measures ages because it includes suspended time.
+		SinceBoot func() time.Duration
 		// Store holds the records.
 		Store metastore.Store
 		// RecordPrefix is the prefix of the keys of the records, which the name of the model follows.
 		RecordPrefix string
+		// CheckpointKey is the key of the checkpoint.
+		CheckpointKey string
 		// RecordDelay returns how long after a version became the target this host records it, if no other
-		// host has. It differs between hosts, so that usually only one of them writes.
+		// host has, and how long after a checkpoint is due it writes one. It differs between hosts, so that
+		// usually only one of them writes.
 		RecordDelay func() time.Duration
 		// MaxAge returns how long after a newer version became the target older weights may be used.
 		MaxAge func() time.Duration
@@ -49,19 +62,29 @@
 	}
 
 	// Targets holds the target versions of all models. The times are recorded in the metadata store, so that
-	// a restarted host knows which weights have expired. It is safe for concurrent use.
+	// a restarted host knows which weights have expired. A version that was selected while no host followed
+	// the store has no record; its age counts from the last moment at which it was not yet selected, which
+	// the checkpoint tells. Targets is safe for concurrent use.
 	Targets struct {
 		opts Options
 
-		mu     sync.Mutex
-		models map[string]*model
+		mu         sync.Mutex
+		models     map[string]*model
+		checkpoint checkpoint
+		// confirmedAt is the reading of SinceBoot at which this host last knew all changes of the store.
+		confirmedAt time.Duration
+		// isConfirmed reports whether the host has ever known all changes, isInterrupted whether it may have
+		// missed some since confirmedAt.
+		isConfirmed, isInterrupted bool
 	}
 
-	// model holds the target versions of one model: the newest, since when each has been the target, and
-	// which of them the stored record has, as of its revision.
+	// model holds the target versions of one model: the newest, the item that selects it, the reading of
+	// SinceBoot since when each has been the target, and which of them the stored record has, as of its
+	// revision.
 	model struct {
 		newest   uint64
-		since    map[uint64]time.Time
+		item     metastore.Precondition
+		since    map[uint64]time.Duration
 		recorded map[uint64]bool
 		revision uint64
 		// expired is the newest version whose predecessors have been logged as expired.
@@ -71,41 +94,111 @@
 	// record is the stored record of one model: since when each version has been the target, in Unix
 	// milliseconds.
 	record map[uint64]int64
+
+	// checkpoint is the moment at which all selected versions were recorded: a version whose item has a later
+	// revision was selected after it. The revision is zero if there has been none.
+	checkpoint struct {
+		revision uint64
+		// at and seenAt are the readings of SinceBoot of that moment and of when this host learned it.
+		at, seenAt time.Duration
+	}
+
+	// storedCheckpoint is the value of the checkpoint's item, in Unix milliseconds.
+	storedCheckpoint struct {
+		AtMs int64 `json:"at-ms"`
+	}
 )
 
 // New returns targets without versions.
 func New(opts Options) *Targets {
-	return &Targets{opts: opts, models: make(map[string]*model)}
+	ta := &Targets{opts: opts, models: make(map[string]*model), isInterrupted: true}
+	ta.checkpoint.seenAt = opts.SinceBoot()
+	return ta
+}
+
+// Confirm states that the host has applied all changes of the metadata store up to now.
+func (ta *Targets) Confirm() {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.confirmedAt, ta.isConfirmed, ta.isInterrupted = ta.opts.SinceBoot(), true, false
+}
+
+// Interrupt states that the host may miss changes from now on, or has missed some, until the next call of Confirm.
+func (ta *Targets) Interrupt() {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.isInterrupted = true
 }
 
-// Select makes a version the target of its model. It does nothing and returns false if the version is not newer
-// than the current target.
+// Select makes a version the target of its model. It returns false if the version is not newer than the current
+// target.
 func (ta *Targets) Select(se Selection) bool {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	mo := ta.getOrCreate(se.Model)
+	if se.Item.Revision > mo.item.Revision {
+		mo.item = metastore.Precondition{Key: se.Item.Key, Revision: se.Item.Revision}
+	}
 	if se.Version <= mo.newest {
 		return false
 	}
 	mo.newest = se.Version
 	source := "record"
 	if _, ok := mo.since[se.Version]; !ok {
-		mo.since[se.Version], source = ta.opts.Clock.Now(), "reading"
+		mo.since[se.Version], source = ta.earliestSelection(se.Item.Revision)
 	}
 	ta.opts.Log.WithFields(logrus.Fields{
 		"model": se.Model, "version": se.Version, "revision": se.Item.Revision,
-		"age-ms": ta.opts.Clock.Now().Sub(mo.since[se.Version]).Milliseconds(), "age-from": source,
+		"age-ms": (ta.opts.SinceBoot() - mo.since[se.Version]).Milliseconds(), "age-from": source,
 	}).Info("Weights were named.")
 	return true
 }
 
-// MergeRecord merges a stored record: of two times for a version the earlier one counts. Items that are not
-// records are ignored.
-func (ta *Targets) MergeRecord(it metastore.Item) error {
-	name, ok := strings.CutPrefix(it.Key, ta.opts.RecordPrefix)
-	if !ok || len(it.Value) == 0 {
-		return nil
+// earliestSelection returns the earliest moment at which an item of the given revision, which this host has just
+// read, may have been written, and what that moment is known from.
+func (ta *Targets) earliestSelection(revision uint64) (at time.Duration, source string) {
+	now := ta.opts.SinceBoot()
+	if !ta.isInterrupted && now-ta.confirmedAt <= maxConfirmInterval {
+		return now, "change"
+	}
+	afterCheckpoint := ta.checkpoint.revision > 0 && revision > ta.checkpoint.revision
+	switch {
+	case afterCheckpoint && (!ta.isConfirmed || ta.checkpoint.at > ta.confirmedAt):
+		return ta.checkpoint.at, "checkpoint"
+	case ta.isConfirmed:
+		return ta.confirmedAt, "contact"
+	default:
+		return now, "reading"
+	}
+}
+
+// ApplyItem applies an item in which hosts keep what they know about targets: a record or the checkpoint. It
+// ignores other items.
+func (ta *Targets) ApplyItem(it metastore.Item) error {
+	if it.Key == ta.opts.CheckpointKey && len(it.Value) > 0 {
+		return ta.applyCheckpoint(it)
+	}
+	if name, ok := strings.CutPrefix(it.Key, ta.opts.RecordPrefix); ok && len(it.Value) > 0 {
+		return ta.mergeRecord(name, it)
+	}
+	return nil
+}
+
+func (ta *Targets) applyCheckpoint(it metastore.Item) error {
+	var sc storedCheckpoint
+	if err := json.Unmarshal(it.Value, &sc); err != nil {
+		return errors.Wrap(err, "weights: decode checkpoint")
+	}
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	if it.Revision > ta.checkpoint.revision {
+		ta.checkpoint = checkpoint{revision: it.Revision, at: ta.fromUnixMilli(sc.AtMs), seenAt: ta.opts.SinceBoot()}
 	}
+	return nil
+}
+
+// mergeRecord merges a stored record: of two times for a version the earlier one counts.
+func (ta *Targets) mergeRecord(name string, it metastore.Item) error {
 	var rec record
 	if err := json.Unmarshal(it.Value, &rec); err != nil {
 		return errors.Wrapf(err, "weights: decode record of model %q", name)
@@ -114,19 +207,28 @@
 	defer ta.mu.Unlock()
 	mo := ta.getOrCreate(name)
 	mo.revision = it.Revision
-	now := ta.opts.Clock.Now()
 	clear(mo.recorded)
 	for version, ms := range rec {
 		mo.recorded[version] = true
-		// Wall clocks differ between hosts; a time in the future counts as now.
-		at := now.Add(-max(0, now.Sub(time.UnixMilli(ms))))
-		if known, ok := mo.since[version]; !ok || at.Before(known) {
+		at := ta.fromUnixMilli(ms)
+		if known, ok := mo.since[version]; !ok || at < known {
 			mo.since[version] = at
 		}
 	}
 	return nil
 }
 
+// fromUnixMilli returns the reading of SinceBoot at a time that a host has stored. Wall clocks differ between
+// hosts; a time in the future counts as now.
+func (ta *Targets) fromUnixMilli(ms int64) time.Duration {
+	return ta.opts.SinceBoot() - max(0, ta.opts.Clock.Now().Sub(time.UnixMilli(ms)))
+}
+
+// toUnixMilli returns the wall-clock time at a reading of SinceBoot.
+func (ta *Targets) toUnixMilli(at time.Duration) int64 {
+	return ta.opts.Clock.Now().Add(at - ta.opts.SinceBoot()).UnixMilli()
+}
+
 // Target returns the target version of a model, zero if none has been selected.
 func (ta *Targets) Target(name string) uint64 {
 	ta.mu.Lock()
@@ -146,16 +248,16 @@
 	if mo == nil || version >= mo.newest {
 		return false
 	}
-	now := ta.opts.Clock.Now()
+	now := ta.opts.SinceBoot()
 	for newer, since := range mo.since {
-		if newer > version && now.Sub(since) > ta.opts.MaxAge() {
+		if newer > version && now-since > ta.opts.MaxAge() {
 			return true
 		}
 	}
 	return false
 }
 
-// Run writes records of versions that are not recorded yet, until ctx ends.
+// Run writes records of versions that are not recorded yet, and checkpoints, until ctx ends.
 func (ta *Targets) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		select {
@@ -171,16 +273,47 @@
 				ta.markRecorded(name)
 			}
 		}
+		if tx, ok := ta.dueCheckpoint(); ok {
+			// After a conflict a version has been selected, or another host has written a checkpoint.
+			_, _ = ta.opts.Store.Commit(ctx, tx)
+		}
+	}
+}
+
+// dueCheckpoint returns the transaction that writes a checkpoint; ok is false if none is due or a target is not
+// recorded yet. It succeeds only if the store has no newer selections than this host.
+func (ta *Targets) dueCheckpoint() (tx metastore.Transaction, ok bool) {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	now := ta.opts.SinceBoot()
+	if ta.isInterrupted || now-ta.checkpoint.seenAt < checkpointInterval+ta.opts.RecordDelay() {
+		return tx, false
+	}
+	tx.Preconditions = []metastore.Precondition{{Key: ta.opts.CheckpointKey, Revision: ta.checkpoint.revision}}
+	for _, mo := range ta.models {
+		if mo.newest == 0 {
+			continue
+		}
+		if !mo.recorded[mo.newest] {
+			return tx, false
+		}
+		tx.Preconditions = append(tx.Preconditions, mo.item)
+	}
+	value, err := json.Marshal(storedCheckpoint{AtMs: ta.toUnixMilli(now)})
+	if err != nil || len(tx.Preconditions) == 1 || len(tx.Preconditions) > maxCheckpointModels+1 {
+		return tx, false
 	}
+	tx.Puts = []metastore.Put{{Key: ta.opts.CheckpointKey, Value: value}}
+	return tx, true
 }
 
 // logExpired logs, once for each target, that older weights are no longer used.
 func (ta *Targets) logExpired() {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	now := ta.opts.Clock.Now()
+	now := ta.opts.SinceBoot()
 	for name, mo := range ta.models {
-		age := now.Sub(mo.since[mo.newest])
+		age := now - mo.since[mo.newest]
 		if mo.expired == mo.newest || age <= ta.opts.MaxAge() {
 			continue
 		}
@@ -196,16 +329,16 @@
 func (ta *Targets) pendingRecords() map[string]metastore.Transaction {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	now := ta.opts.Clock.Now()
+	now := ta.opts.SinceBoot()
 	out := make(map[string]metastore.Transaction)
 	for name, mo := range ta.models {
-		if mo.newest == 0 || mo.recorded[mo.newest] || now.Sub(mo.since[mo.newest]) < ta.opts.RecordDelay() {
+		if mo.newest == 0 || mo.recorded[mo.newest] || now-mo.since[mo.newest] < ta.opts.RecordDelay() {
 			continue
 		}
 		rec := make(record, maxRecordedVersions)
 		for version, since := range mo.since {
 			if version+maxRecordedVersions > mo.newest {
-				rec[version] = since.UnixMilli()
+				rec[version] = ta.toUnixMilli(since)
 			}
 		}
 		value, err := json.Marshal(rec)
@@ -233,7 +366,7 @@
 func (ta *Targets) getOrCreate(name string) *model {
 	mo := ta.models[name]
 	if mo == nil {
-		mo = &model{since: make(map[uint64]time.Time), recorded: make(map[uint64]bool)}
+		mo = &model{since: make(map[uint64]time.Duration), recorded: make(map[uint64]bool)}
 		ta.models[name] = mo
 	}
 	return mo
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -59,3 +59,67 @@
 		})
 	}
 }
+
+func TestVersionNamedInAShortDowntimeIsUsedForMostOfItsTime(t *testing.T) {
+	// Checkpoints are two seconds apart, and a host checks every second whether one is due.
+	const downtime, uncertainty = time.Second, 3 * time.Second
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	first := startHost(t, ck, st)
+	run(t, ck, 10*time.Second, first)
+	first.stop()
+	st.selectVersion(2)
+	ck.Advance(downtime)
+	restarted := startHost(t, ck, st)
+	run(t, ck, maxAge-downtime-uncertainty-100*time.Millisecond, restarted)
+	require.False(t, restarted.targets.IsExpired(modelName, 1))
+}
+
+func TestHostThatLostTheStoreCountsTheAgeFromItsLastContact(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	ho := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, ho)
+	ho.targets.Interrupt()
+	st.selectVersion(2)
+	ck.Advance(6 * time.Second)
+	ho.deliver()
+	run(t, ck, maxAge-6*time.Second+100*time.Millisecond, ho)
+	require.True(t, ho.targets.IsExpired(modelName, 1))
+}
+
+func TestSuspendedHostCountsTheTimeOfItsSuspension(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	ho := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, ho)
+	st.selectVersion(2)
+	ho.deliver()
+	ho.suspended += 8 * time.Second
+	run(t, ck, maxAge-8*time.Second+100*time.Millisecond, ho)
+	require.True(t, ho.targets.IsExpired(modelName, 1))
+}
+
+func TestCheckpointIsNotWrittenOverASelectionThatNoHostHasSeen(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	first := startHost(t, ck, st)
+	run(t, ck, 10*time.Second, first)
+	st.selectVersion(2)
+	advance(t, ck, 4*time.Second, 1)
+	first.stop()
+	restarted := startHost(t, ck, st)
+	run(t, ck, maxAge-4*time.Second+100*time.Millisecond, restarted)
+	require.True(t, restarted.targets.IsExpired(modelName, 1))
+}
+
+func TestOneHostAtATimeWritesCheckpoints(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	hosts := []*host{startHost(t, ck, st), startHost(t, ck, st), startHost(t, ck, st)}
+	run(t, ck, 5*time.Second, hosts...)
+	before := st.commits
+	run(t, ck, 60*time.Second, hosts...)
+	require.LessOrEqual(t, st.commits-before, 30)
+	require.GreaterOrEqual(t, st.commits-before, 20)
+}
