weights: write checkpoints before any version is selected as well

Cause: the checkpoint was only written while some version was selected, since its conditions were the items of the selections.

Change: a checkpoint has the newest revision that a host had applied when it last knew all changes, and the time of that moment, in place of conditions on items. It needs no selection, and no bound on the number of models.

--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -185,7 +185,7 @@
 
 // CallSucceeded records that the store has answered.
 func (ss *storeState) CallSucceeded() {
-	ss.targets.Confirm()
+	ss.targets.Confirm(ss.seenRevision.Load())
 	if outage := ss.fleet.StoreReached(); outage > 0 || ss.unreachable {
 		ss.unreachable = false
 		ss.log.WithFields(logrus.Fields{"dependency": "metadata-store", "away-ms": outage.Milliseconds()}).Info("Dependency is back.")
--- a/internal/weights/host_test.go
+++ b/internal/weights/host_test.go
@@ -117,11 +117,14 @@
 	return ho
 }
 
-// deliver applies the changes of the store since the last call.
+// deliver applies the changes of the store since the last call, those that hosts have written first.
 func (ho *host) deliver() {
-	for _, it := range ho.st.changes(ho.applied) {
+	changes := ho.st.changes(ho.applied)
+	for _, it := range changes {
 		ho.applied = it.Revision
 		require.NoError(ho.t, ho.targets.ApplyItem(it))
+	}
+	for _, it := range changes {
 		if it.Key != selectionKey {
 			continue
 		}
@@ -130,7 +133,7 @@
 		require.NoError(ho.t, err)
 		ho.targets.Select(weights.Selection{Model: modelName, Version: version, Item: it})
 	}
-	ho.targets.Confirm()
+	ho.targets.Confirm(ho.applied)
 }
 
 // run lets a duration pass in steps, after each of which the hosts have applied all changes.
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -27,9 +27,6 @@
 	checkpointInterval = 2 * time.Second
 	// maxConfirmInterval is the longest time between two confirmations while the host follows the metadata store.
 	maxConfirmInterval = 2 * time.Second
-	// maxCheckpointModels is the largest number of models with which checkpoints are written: a transaction
-	// has room for so many preconditions beside that on the checkpoint itself.
-	maxCheckpointModels = 31
 )
 
 type (
@@ -71,19 +68,19 @@
 		mu         sync.Mutex
 		models     map[string]*model
 		checkpoint checkpoint
-		// confirmedAt is the reading of SinceBoot at which this host last knew all changes of the store.
-		confirmedAt time.Duration
+		// confirmedAt is the reading of SinceBoot at which this host last knew all changes of the store, and
+		// confirmedRevision the newest revision that it had then applied.
+		confirmedAt       time.Duration
+		confirmedRevision uint64
 		// isConfirmed reports whether the host has ever known all changes, isInterrupted whether it may have
 		// missed some since confirmedAt.
 		isConfirmed, isInterrupted bool
 	}
 
-	// model holds the target versions of one model: the newest, the item that selects it, the reading of
-	// SinceBoot since when each has been the target, and which of them the stored record has, as of its
-	// revision.
+	// model holds the target versions of one model: the newest, the reading of SinceBoot since when each has
+	// been the target, and which of them the stored record has, as of its revision.
 	model struct {
 		newest   uint64
-		item     metastore.Precondition
 		since    map[uint64]time.Duration
 		recorded map[uint64]bool
 		revision uint64
@@ -95,17 +92,20 @@
 	// milliseconds.
 	record map[uint64]int64
 
-	// checkpoint is the moment at which all selected versions were recorded: a version whose item has a later
-	// revision was selected after it. The revision is zero if there has been none.
+	// checkpoint is a moment at which a host knew all changes of the store up to a revision and all versions
+	// selected until then were recorded. A version whose item has a later revision was selected after it.
 	checkpoint struct {
-		revision uint64
-		// at and seenAt are the readings of SinceBoot of that moment and of when this host learned it.
+		// itemRevision is the revision of the checkpoint's item; zero means that there has been none.
+		itemRevision uint64
+		revision     uint64
+		// at and seenAt are the readings of SinceBoot of that moment and of when this host learned of it.
 		at, seenAt time.Duration
 	}
 
-	// storedCheckpoint is the value of the checkpoint's item, in Unix milliseconds.
+	// storedCheckpoint is the value of the checkpoint's item; the time is in Unix milliseconds.
 	storedCheckpoint struct {
-		AtMs int64 `json:"at-ms"`
+		Revision uint64 `json:"revision"`
+		AtMs     int64  `json:"at-ms"`
 	}
 )
 
@@ -116,11 +116,13 @@
 	return ta
 }
 
-// Confirm states that the host has applied all changes of the metadata store up to now.
-func (ta *Targets) Confirm() {
+// Confirm states that the host has applied all changes of the metadata store up to now, the newest of which has the
+// given revision.
+func (ta *Targets) Confirm(revision uint64) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	ta.confirmedAt, ta.isConfirmed, ta.isInterrupted = ta.opts.SinceBoot(), true, false
+	ta.confirmedAt, ta.confirmedRevision = ta.opts.SinceBoot(), revision
+	ta.isConfirmed, ta.isInterrupted = true, false
 }
 
 // Interrupt states that the host may miss changes from now on, or has missed some, until the next call of Confirm.
@@ -136,9 +138,6 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	mo := ta.getOrCreate(se.Model)
-	if se.Item.Revision > mo.item.Revision {
-		mo.item = metastore.Precondition{Key: se.Item.Key, Revision: se.Item.Revision}
-	}
 	if se.Version <= mo.newest {
 		return false
 	}
@@ -161,7 +160,7 @@
 	if !ta.isInterrupted && now-ta.confirmedAt <= maxConfirmInterval {
 		return now, "change"
 	}
-	afterCheckpoint := ta.checkpoint.revision > 0 && revision > ta.checkpoint.revision
+	afterCheckpoint := ta.checkpoint.itemRevision > 0 && revision > ta.checkpoint.revision
 	switch {
 	case afterCheckpoint && (!ta.isConfirmed || ta.checkpoint.at > ta.confirmedAt):
 		return ta.checkpoint.at, "checkpoint"
@@ -191,8 +190,10 @@
 	}
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	if it.Revision > ta.checkpoint.revision {
-		ta.checkpoint = checkpoint{revision: it.Revision, at: ta.fromUnixMilli(sc.AtMs), seenAt: ta.opts.SinceBoot()}
+	if it.Revision > ta.checkpoint.itemRevision {
+		ta.checkpoint = checkpoint{
+			itemRevision: it.Revision, revision: sc.Revision, at: ta.fromUnixMilli(sc.AtMs), seenAt: ta.opts.SinceBoot(),
+		}
 	}
 	return nil
 }
@@ -274,37 +275,33 @@
 			}
 		}
 		if tx, ok := ta.dueCheckpoint(); ok {
-			// After a conflict a version has been selected, or another host has written a checkpoint.
+			// A conflict means that another host has written one.
 			_, _ = ta.opts.Store.Commit(ctx, tx)
 		}
 	}
 }
 
 // dueCheckpoint returns the transaction that writes a checkpoint; ok is false if none is due or a target is not
-// recorded yet. It succeeds only if the store has no newer selections than this host.
+// recorded yet.
 func (ta *Targets) dueCheckpoint() (tx metastore.Transaction, ok bool) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	now := ta.opts.SinceBoot()
-	if ta.isInterrupted || now-ta.checkpoint.seenAt < checkpointInterval+ta.opts.RecordDelay() {
+	if ta.isInterrupted || ta.opts.SinceBoot()-ta.checkpoint.seenAt < checkpointInterval+ta.opts.RecordDelay() {
 		return tx, false
 	}
-	tx.Preconditions = []metastore.Precondition{{Key: ta.opts.CheckpointKey, Revision: ta.checkpoint.revision}}
 	for _, mo := range ta.models {
-		if mo.newest == 0 {
-			continue
-		}
-		if !mo.recorded[mo.newest] {
+		if mo.newest > 0 && !mo.recorded[mo.newest] {
 			return tx, false
 		}
-		tx.Preconditions = append(tx.Preconditions, mo.item)
 	}
-	value, err := json.Marshal(storedCheckpoint{AtMs: ta.toUnixMilli(now)})
-	if err != nil || len(tx.Preconditions) == 1 || len(tx.Preconditions) > maxCheckpointModels+1 {
+	value, err := json.Marshal(storedCheckpoint{Revision: ta.confirmedRevision, AtMs: ta.toUnixMilli(ta.confirmedAt)})
+	if err != nil {
 		return tx, false
 	}
-	tx.Puts = []metastore.Put{{Key: ta.opts.CheckpointKey, Value: value}}
-	return tx, true
+	return metastore.Transaction{
+		Preconditions: []metastore.Precondition{{Key: ta.opts.CheckpointKey, Revision: ta.checkpoint.itemRevision}},
+		Puts:          []metastore.Put{{Key: ta.opts.CheckpointKey, Value: value}},
+	}, true
 }
 
 // logExpired logs, once for each target, that older weights are no longer used.
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -60,6 +60,19 @@
 	}
 }
 
+func TestFirstVersionNamedWhileAllHostsWereDownExpiresInTime(t *testing.T) {
+	const downtime = time.Second
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	first := startHost(t, ck, st)
+	run(t, ck, 10*time.Second, first)
+	first.stop()
+	st.selectVersion(2)
+	ck.Advance(downtime)
+	restarted := startHost(t, ck, st)
+	run(t, ck, maxAge-downtime+100*time.Millisecond, restarted)
+	require.True(t, restarted.targets.IsExpired(modelName, 1))
+}
+
 func TestVersionNamedInAShortDowntimeIsUsedForMostOfItsTime(t *testing.T) {
 	// Checkpoints are two seconds apart, and a host checks every second whether one is due.
 	const downtime, uncertainty = time.Second, 3 * time.Second
