upgrade: drain the first engines before orders are allowed

What callers saw: after all hosts lost power as a version was named, the next leader's first order went out 4.5 s after it had acquired the lease, though it needs to wait 3.4 s; older weights were used for longer, and near the end some engines were not used at all as theirs had expired.

Cause: the controller looked for the permission to send orders every 0.5 s, and then drained an engine for up to 0.9 s.

Change: it knows how long the lease still forbids orders and drains the first engines in the last 0.9 s of that time. Orders are sent under the same check as before.

TestEnginesAreDrainedBeforeOrdersAreAllowed fails without the planning.

--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -80,6 +80,17 @@
 	return ca.fencingToken, true
 }
 
+// UntilActive returns how long it takes until this host may act, zero if it may act now; ok is false if it does not
+// hold the lease.
+func (ca *Candidate) UntilActive() (d time.Duration, ok bool) {
+	ca.mu.Lock()
+	defer ca.mu.Unlock()
+	if ca.fencingToken == 0 {
+		return 0, false
+	}
+	return max(0, ca.activeFrom-ca.opts.SinceBoot()), true
+}
+
 // NotifyVacant notifies the candidate that the lease item was removed. It does not block.
 func (ca *Candidate) NotifyVacant() {
 	select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -161,7 +161,7 @@
 	})
 	no.upgrades = upgrade.New(upgrade.Options{
 		Clock: ck, Fleet: no.fleet, Engines: deps.Engines, Holder: st.Name, FencingToken: no.leaderLease.FencingToken,
-		Log: lg.WithField("part", "upgrade"),
+		UntilActive: no.leaderLease.UntilActive, Log: lg.WithField("part", "upgrade"),
 	})
 	no.feedPublisher = changefeed.NewPublisher(clock.SinceBoot)
 	no.feedSubscriber = changefeed.NewSubscriber(changefeed.SubscriberOptions{
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -84,7 +84,10 @@
 		Holder  string
 		// FencingToken returns the fencing token if this host may send orders now.
 		FencingToken func() (uint64, bool)
-		Log          logrus.FieldLogger
+		// UntilActive returns how long it takes until this host may send orders; ok is false if that is not
+		// foreseeable.
+		UntilActive func() (d time.Duration, ok bool)
+		Log         logrus.FieldLogger
 	}
 
 	// Controller assigns weights to engines and tracks the loads in progress. It is safe for concurrent
@@ -162,16 +165,23 @@
 	return out
 }
 
-// Run upgrades engines while this host may send orders, until ctx ends.
+// Run upgrades engines while this host may send orders, until ctx ends. The first engines are drained just before
+// it may.
 func (co *Controller) Run(ctx context.Context) {
 	var eg errgroup.Group
 	for ctx.Err() == nil {
-		interval := idleInterval
+		interval := stepInterval
 		if token, ok := co.opts.FencingToken(); ok {
-			interval = stepInterval
 			co.step(ctx, &eg, token)
+		} else if wait, ok := co.opts.UntilActive(); ok && wait > 0 && wait <= drainLeadTime {
+			co.planJobs()
+			interval = min(stepInterval, wait)
 		} else {
 			co.clearJobs()
+			interval = idleInterval
+			if ok && wait > 0 {
+				interval = min(idleInterval, wait-drainLeadTime)
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -190,8 +200,9 @@
 	clear(co.jobs)
 }
 
-// step removes finished jobs, creates new ones and starts the calls that are due in eg.
-func (co *Controller) step(ctx context.Context, eg *errgroup.Group, token uint64) {
+// planJobs removes finished jobs and creates new ones, whose engines are drained from then on. It returns the
+// endpoints by identifier.
+func (co *Controller) planJobs() map[string]fleet.View {
 	now := co.opts.Clock.Now()
 	views := co.opts.Fleet.All()
 	co.mu.Lock()
@@ -221,8 +232,19 @@
 		}
 		co.jobs[vw.ID] = &job{address: vw.Address, model: model, version: version, startedAt: now}
 	}
-	for id, jb := range co.jobs {
+	for id := range co.jobs {
 		co.opts.Fleet.MarkLoading(id, now.Add(loadingMarkTTL))
+	}
+	return viewByID
+}
+
+// step plans jobs and starts the calls that are due in eg.
+func (co *Controller) step(ctx context.Context, eg *errgroup.Group, token uint64) {
+	viewByID := co.planJobs()
+	now := co.opts.Clock.Now()
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	for id, jb := range co.jobs {
 		if jb.callInFlight {
 			continue
 		}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,6 +55,13 @@
 	return upgrade.Accepted, nil
 }
 
+// orders returns the engines that were sent orders.
+func (en *fakeEngines) orders() []string {
+	en.mu.Lock()
+	defer en.mu.Unlock()
+	return slices.Clone(en.orderedIDs)
+}
+
 func (en *fakeEngines) allHaveVersion(version uint64) bool {
 	en.mu.Lock()
 	defer en.mu.Unlock()
@@ -65,6 +74,13 @@
 }
 
 func startController(t *testing.T, versions map[string]uint64, mayOrder func() bool) (*upgrade.Controller, *fakeEngines, *fleet.Fleet) {
+	return startWaitingController(t, versions, mayOrder, func() (time.Duration, bool) { return 0, false })
+}
+
+// startWaitingController starts a controller that is told how long it takes until it may send orders.
+func startWaitingController(
+	t *testing.T, versions map[string]uint64, mayOrder func() bool, untilActive func() (time.Duration, bool),
+) (*upgrade.Controller, *fakeEngines, *fleet.Fleet) {
 	en := &fakeEngines{versions: versions, acceptedOrders: make(map[string]uint64)}
 	fl := fleet.New(fleet.Options{Host: "host"})
 	for id, version := range versions {
@@ -74,7 +90,7 @@
 	lg.SetOutput(io.Discard)
 	co := upgrade.New(upgrade.Options{
 		Clock: clock.System(), Fleet: fl, Engines: en, Holder: "host", Log: lg,
-		FencingToken: func() (uint64, bool) { return 7, mayOrder() },
+		FencingToken: func() (uint64, bool) { return 7, mayOrder() }, UntilActive: untilActive,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
@@ -104,6 +120,21 @@
 	require.Equal(t, "engine-9", en.orderedIDs[0])
 }
 
+// Guards against a rollout that begins a second late: the next leader drained the first engines only once it
+// was allowed to send orders.
+func TestEnginesAreDrainedBeforeOrdersAreAllowed(t *testing.T) {
+	t.Parallel()
+	var mayOrder atomic.Bool
+	versions := map[string]uint64{"engine-1": 1, "engine-2": 1}
+	co, en, _ := startWaitingController(t, versions, mayOrder.Load, func() (time.Duration, bool) { return 300 * time.Millisecond, true })
+	co.SetTarget("m", 2)
+	require.Eventually(t, func() bool { return len(co.LoadingEngines()) > 0 }, waitTimeout, pollInterval)
+	require.False(t, en.allHaveVersion(2))
+	require.Empty(t, en.orders())
+	mayOrder.Store(true)
+	require.Eventually(t, func() bool { return en.allHaveVersion(2) }, waitTimeout, pollInterval)
+}
+
 func TestNoOrderWithoutLeadership(t *testing.T) {
 	t.Parallel()
 	var mu sync.Mutex
