weights: mark only the versions of a written record as recorded

Cause: while the record of a version was being written the operator selected the next one; when the answer came, the newest version was marked as recorded, which the record lacked. This host then never recorded it, and wrote checkpoints after it; after a loss of all hosts its age would have begun anew. Found by a reviewer of the checkpoint; other hosts would usually have written the record. Change: the commit's answer marks the newest version that the record has. Measured: TestVersionNamedWhileARecordIsWrittenIsRecorded fails if the newest version of the moment is marked.

--- a/internal/weights/host_test.go
+++ b/internal/weights/host_test.go
@@ -35,6 +35,8 @@
 		revision uint64
 		items    map[string]metastore.Item
 		commits  int
+		// onCommit is called between a commit and its response; it may be nil.
+		onCommit func(tx metastore.Transaction)
 	}
 
 	// host is a process that follows a memory store: it applies changes as soon as deliver is called.
@@ -53,6 +55,14 @@
 
 // Commit applies a transaction if its conditions hold.
 func (st *memoryStore) Commit(_ context.Context, tx metastore.Transaction) (uint64, error) {
+	revision, err := st.apply(tx)
+	if err == nil && st.onCommit != nil {
+		st.onCommit(tx)
+	}
+	return revision, err
+}
+
+func (st *memoryStore) apply(tx metastore.Transaction) (uint64, error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for _, pc := range tx.Preconditions {
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -92,6 +92,13 @@
 	// milliseconds.
 	record map[uint64]int64
 
+	// pendingRecord is a record to be written, with the newest version that it has.
+	pendingRecord struct {
+		model  string
+		newest uint64
+		tx     metastore.Transaction
+	}
+
 	// checkpoint is a moment at which a host knew all changes of the store up to a revision and all versions
 	// selected until then were recorded. A version whose item has a later revision was selected after it.
 	checkpoint struct {
@@ -267,11 +274,11 @@
 		case <-ta.opts.Clock.After(recordInterval):
 		}
 		ta.logExpired()
-		for name, tx := range ta.pendingRecords() {
+		for _, pr := range ta.pendingRecords() {
 			// A conflict means that another host has written the record. Versions that it lacks
 			// are written at the next check.
-			if _, err := ta.opts.Store.Commit(ctx, tx); err == nil {
-				ta.markRecorded(name)
+			if _, err := ta.opts.Store.Commit(ctx, pr.tx); err == nil {
+				ta.markRecorded(pr)
 			}
 		}
 		if tx, ok := ta.dueCheckpoint(); ok {
@@ -321,13 +328,12 @@
 	}
 }
 
-// pendingRecords returns, by model, the transactions that record targets which are not recorded yet and are old
-// enough for this host to do so.
-func (ta *Targets) pendingRecords() map[string]metastore.Transaction {
+// pendingRecords returns the records of targets which are not recorded yet and are old enough for this host to do so.
+func (ta *Targets) pendingRecords() []pendingRecord {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	now := ta.opts.SinceBoot()
-	out := make(map[string]metastore.Transaction)
+	var out []pendingRecord
 	for name, mo := range ta.models {
 		if mo.newest == 0 || mo.recorded[mo.newest] || now-mo.since[mo.newest] < ta.opts.RecordDelay() {
 			continue
@@ -343,20 +349,19 @@
 			continue
 		}
 		key := ta.opts.RecordPrefix + name
-		out[name] = metastore.Transaction{
+		out = append(out, pendingRecord{model: name, newest: mo.newest, tx: metastore.Transaction{
 			Preconditions: []metastore.Precondition{{Key: key, Revision: mo.revision}},
 			Puts:          []metastore.Put{{Key: key, Value: value}},
-		}
+		}})
 	}
 	return out
 }
 
-// markRecorded marks the target of a model as recorded.
-func (ta *Targets) markRecorded(name string) {
+// markRecorded marks the newest version of a written record as recorded. The target may be newer by now.
+func (ta *Targets) markRecorded(pr pendingRecord) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	mo := ta.getOrCreate(name)
-	mo.recorded[mo.newest] = true
+	ta.getOrCreate(pr.model).recorded[pr.newest] = true
 }
 
 // getOrCreate returns the versions of a model, and creates them if there are none.
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -1,11 +1,14 @@
 package weights_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/metastore"
 )
 
 func TestOlderVersionExpires(t *testing.T) {
@@ -136,3 +139,22 @@
 	require.LessOrEqual(t, st.commits-before, 30)
 	require.GreaterOrEqual(t, st.commits-before, 20)
 }
+
+func TestVersionNamedWhileARecordIsWrittenIsRecorded(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	ho := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, ho)
+	st.onCommit = func(tx metastore.Transaction) {
+		if strings.HasPrefix(tx.Puts[0].Key, recordPrefix) {
+			st.onCommit = nil
+			st.selectVersion(3)
+			ho.deliver()
+		}
+	}
+	st.selectVersion(2)
+	ho.deliver()
+	run(t, ck, 6*time.Second, ho)
+	ho.stop()
+	require.Contains(t, string(st.items[recordPrefix+modelName].Value), `"3":`)
+}
