weights: date a version by the checkpoint in the first seconds and without a record

Cause: the first checkpoint was written two to three seconds after the start of a fleet, and a version without a record that is not newer than the checkpoint counted from the reading. Both left the age of a version open after a loss of all hosts; found by a reviewer. Change: a fleet without a checkpoint writes one at once, and a version without a record counts from the checkpoint at the latest.

--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -167,15 +167,13 @@
 	if !ta.isInterrupted && now-ta.confirmedAt <= maxConfirmInterval {
 		return now, "change"
 	}
-	afterCheckpoint := ta.checkpoint.itemRevision > 0 && revision > ta.checkpoint.revision
-	switch {
-	case afterCheckpoint && (!ta.isConfirmed || ta.checkpoint.at > ta.confirmedAt):
+	if ta.checkpoint.itemRevision > 0 && (!ta.isConfirmed || revision <= ta.checkpoint.revision || ta.checkpoint.at > ta.confirmedAt) {
 		return ta.checkpoint.at, "checkpoint"
-	case ta.isConfirmed:
+	}
+	if ta.isConfirmed {
 		return ta.confirmedAt, "contact"
-	default:
-		return now, "reading"
 	}
+	return now, "reading"
 }
 
 // ApplyItem applies an item in which hosts keep what they know about targets: a record or the checkpoint. It
@@ -293,7 +291,11 @@
 func (ta *Targets) dueCheckpoint() (tx metastore.Transaction, ok bool) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	if ta.isInterrupted || ta.opts.SinceBoot()-ta.checkpoint.seenAt < checkpointInterval+ta.opts.RecordDelay() {
+	interval := checkpointInterval
+	if ta.checkpoint.itemRevision == 0 {
+		interval = 0
+	}
+	if ta.isInterrupted || ta.opts.SinceBoot()-ta.checkpoint.seenAt < interval+ta.opts.RecordDelay() {
 		return tx, false
 	}
 	for _, mo := range ta.models {
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -158,3 +158,31 @@
 	ho.stop()
 	require.Contains(t, string(st.items[recordPrefix+modelName].Value), `"3":`)
 }
+
+func TestVersionNamedInTheFirstSecondsOfAFleetExpiresInTime(t *testing.T) {
+	const downtime = 3 * time.Second
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	first := startHost(t, ck, st)
+	run(t, ck, 1500*time.Millisecond, first)
+	first.stop()
+	st.selectVersion(2)
+	ck.Advance(downtime)
+	restarted := startHost(t, ck, st)
+	run(t, ck, maxAge-downtime+100*time.Millisecond, restarted)
+	require.True(t, restarted.targets.IsExpired(modelName, 1))
+}
+
+func TestVersionWithoutARecordIsAtLeastAsOldAsALaterCheckpoint(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	first := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, first)
+	st.selectVersion(2)
+	run(t, ck, 5*time.Second, first)
+	first.stop()
+	delete(st.items, recordPrefix+modelName)
+	ck.Advance(10 * time.Second)
+	restarted := startHost(t, ck, st)
+	run(t, ck, maxAge-10*time.Second+time.Second, restarted)
+	require.True(t, restarted.targets.IsExpired(modelName, 1))
+}
