weights: record the last six versions, whatever their numbers

Cause: a record kept the versions whose numbers are at most five below the newest. After a version with a much higher number a restarted host no longer knew that an earlier one had already made older weights expire. Change: the six newest versions are recorded. Measured: TestRecordKeepsTheAgeOfAVersionBelowAMuchHigherOne failed before.

--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -340,11 +342,10 @@
 		if mo.newest == 0 || mo.recorded[mo.newest] || now-mo.since[mo.newest] < ta.opts.RecordDelay() {
 			continue
 		}
+		versions := slices.Sorted(maps.Keys(mo.since))
 		rec := make(record, maxRecordedVersions)
-		for version, since := range mo.since {
-			if version+maxRecordedVersions > mo.newest {
-				rec[version] = ta.toUnixMilli(since)
-			}
+		for _, version := range versions[max(0, len(versions)-maxRecordedVersions):] {
+			rec[version] = ta.toUnixMilli(mo.since[version])
 		}
 		value, err := json.Marshal(rec)
 		if err != nil {
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -186,3 +186,19 @@
 	run(t, ck, maxAge-10*time.Second+time.Second, restarted)
 	require.True(t, restarted.targets.IsExpired(modelName, 1))
 }
+
+func TestRecordKeepsTheAgeOfAVersionBelowAMuchHigherOne(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	first := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, first)
+	st.selectVersion(2)
+	run(t, ck, 10*time.Second, first)
+	st.selectVersion(9)
+	run(t, ck, 3*time.Second, first)
+	first.stop()
+	ck.Advance(time.Second)
+	second := startHost(t, ck, st)
+	run(t, ck, 2*time.Second, second)
+	require.True(t, second.targets.IsExpired(modelName, 1))
+}
