weights: do not overestimate the age of a version that the host saw being selected

Cause: a host that follows a relay confirms the state only with changes, so that a version after two quiet seconds counted from the change before it; and a record by a host whose clock is behind made older weights expire at once even on hosts that had just seen the selection. Both took engines out of use too early; found by a reviewer. Change: only an interruption that the host knows of dates a version by the last contact, and no record can date a version before the last moment at which this host knew that it was not selected.

--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -27,8 +27,6 @@
 	// checkpointInterval is the time between two checkpoints. By so much the age of a version may be
 	// overestimated after all hosts were down.
 	checkpointInterval = 2 * time.Second
-	// maxConfirmInterval is the longest time between two confirmations while the host follows the metadata store.
-	maxConfirmInterval = 2 * time.Second
 )
 
 type (
@@ -84,7 +82,10 @@
 	model struct {
 		newest   uint64
 		since    map[uint64]time.Duration
-		recorded map[uint64]bool
+		// notBefore holds for versions that this host saw being selected the last moment before, at which they
+		// were not.
+		notBefore map[uint64]time.Duration
+		recorded  map[uint64]bool
 		revision uint64
 		// expired is the newest version whose predecessors have been logged as expired.
 		expired uint64
@@ -151,6 +152,9 @@
 		return false
 	}
 	mo.newest = se.Version
+	if !ta.isInterrupted {
+		mo.notBefore[se.Version] = ta.confirmedAt
+	}
 	source := "record"
 	if _, ok := mo.since[se.Version]; !ok {
 		mo.since[se.Version], source = ta.earliestSelection(se.Item.Revision)
@@ -166,7 +170,7 @@
 // read, may have been written, and what that moment is known from.
 func (ta *Targets) earliestSelection(revision uint64) (at time.Duration, source string) {
 	now := ta.opts.SinceBoot()
-	if !ta.isInterrupted && now-ta.confirmedAt <= maxConfirmInterval {
+	if !ta.isInterrupted {
 		return now, "change"
 	}
 	if ta.checkpoint.itemRevision > 0 && (!ta.isConfirmed || revision <= ta.checkpoint.revision || ta.checkpoint.at > ta.confirmedAt) {
@@ -205,7 +209,8 @@
 	return nil
 }
 
-// mergeRecord merges a stored record: of two times for a version the earlier one counts.
+// mergeRecord merges a stored record: of two times for a version the earlier one counts, unless this host knows
+// that the version was not selected yet.
 func (ta *Targets) mergeRecord(name string, it metastore.Item) error {
 	var rec record
 	if err := json.Unmarshal(it.Value, &rec); err != nil {
@@ -218,7 +223,7 @@
 	clear(mo.recorded)
 	for version, ms := range rec {
 		mo.recorded[version] = true
-		at := ta.fromUnixMilli(ms)
+		at := max(ta.fromUnixMilli(ms), mo.notBefore[version])
 		if known, ok := mo.since[version]; !ok || at < known {
 			mo.since[version] = at
 		}
@@ -371,7 +376,7 @@
 func (ta *Targets) getOrCreate(name string) *model {
 	mo := ta.models[name]
 	if mo == nil {
-		mo = &model{since: make(map[uint64]time.Duration), recorded: make(map[uint64]bool)}
+		mo = &model{since: make(map[uint64]time.Duration), notBefore: make(map[uint64]time.Duration), recorded: make(map[uint64]bool)}
 		ta.models[name] = mo
 	}
 	return mo
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -1,6 +1,7 @@
 package weights_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -202,3 +203,29 @@
 	run(t, ck, 2*time.Second, second)
 	require.True(t, second.targets.IsExpired(modelName, 1))
 }
+
+func TestRecordOfAHostWhoseClockIsBehindDoesNotExpireWeightsEarly(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	ho := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, ho)
+	st.selectVersion(2)
+	ho.deliver()
+	value := fmt.Sprintf(`{"2":%d}`, ck.Now().Add(-maxAge-5*time.Second).UnixMilli())
+	require.NoError(t, ho.targets.ApplyItem(metastore.Item{Key: recordPrefix + modelName, Revision: 99, Value: []byte(value)}))
+	run(t, ck, maxAge-time.Second, ho)
+	require.False(t, ho.targets.IsExpired(modelName, 1))
+}
+
+func TestVersionNamedAfterAQuietTimeCountsFromItsChange(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	ho := startHost(t, ck, st)
+	run(t, ck, 5*time.Second, ho)
+	// A relay confirms the state without a call as long as nothing changes.
+	ck.Advance(10 * time.Second)
+	st.selectVersion(2)
+	ho.deliver()
+	run(t, ck, maxAge-time.Second, ho)
+	require.False(t, ho.targets.IsExpired(modelName, 1))
+}
