metastore: confirm the state as of the request of a late response

Cause: a response that had waited in the socket of a suspended host confirmed the state as of the moment at which the host resumed. A version selected during the suspension then counted from the next response, and a checkpoint with such a confirmation passed the mistake to all hosts. It matters if all hosts are suspended, or those that are not can't write; found by a reviewer. Change: a response that arrives more than 0.5 s after its watch must have ended confirms the state as of its request, and counts as an interruption until a later response.

--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -46,7 +46,9 @@
 	rp.values[ev.Item.Key] = string(ev.Item.Value)
 }
 
-func (*replica) CallSucceeded() {}
+func (*replica) CallDelayed() {}
+
+func (*replica) CallSucceeded(time.Duration) {}
 
 func (rp *replica) CallFailed(error) {
 	rp.mu.Lock()
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -18,7 +18,9 @@
 	// minRetryBackoff and maxRetryBackoff limit the backoff, which doubles with each failed call in a
 	// row. The delay before the next call is random, between 0.5 and 1.5 times the backoff.
 	minRetryBackoff = 60 * time.Millisecond
-	maxRetryBackoff = 500 * time.Millisecond
+	// maxResponseDelay is how long after a watch must have ended its response may arrive in time.
+	maxResponseDelay = 500 * time.Millisecond
+	maxRetryBackoff  = 500 * time.Millisecond
 	// maxFeedRetryBackoff replaces maxRetryBackoff for hosts with a feed, which together would otherwise call
 	// a store that is down hundreds of times a second. They check every feedCheckInterval whether the feed
 	// covers the state again.
@@ -35,8 +37,13 @@
 		ApplySnapshot(sn Snapshot)
 		// ApplyEvent is called with each event, in order.
 		ApplyEvent(ev Event)
-		// CallSucceeded is called after each successful call to the store.
-		CallSucceeded()
+		// CallDelayed is called before the changes of a late response are applied. The response may have been
+		// kept from a host that was suspended, so that its changes, and others, may have happened long before.
+		CallDelayed()
+		// CallSucceeded is called after each successful call to the store, once its changes have been applied.
+		// The state was complete at confirmedAt, a reading of FollowOptions.SinceBoot; that is now, unless the
+		// response was late.
+		CallSucceeded(confirmedAt time.Duration)
 		// CallFailed is called after each failed call to the store. Compacted history is not a failure.
 		CallFailed(err error)
 	}
@@ -112,7 +119,6 @@
 			lp.synced = false
 			continue
 		case err == nil:
-			fo.CallSucceeded()
 			lp.backoff = minRetryBackoff
 		default:
 			fo.CallFailed(err)
@@ -188,7 +194,7 @@
 		return false
 	}
 	lp.apply(ch)
-	lp.fo.CallSucceeded()
+	lp.fo.CallSucceeded(lp.opts.SinceBoot())
 	return true
 }
 
@@ -202,14 +208,21 @@
 		}
 		lp.fo.ApplySnapshot(sn)
 		lp.revision, lp.synced = sn.Revision, true
+		lp.fo.CallSucceeded(requestedAt)
 		return 0, nil
 	}
-	after := lp.revision
-	ch, err := lp.opts.Store.Watch(ctx, lp.opts.Prefix, after, min(lp.opts.WatchWait(), maxWatchWait))
+	after, wait := lp.revision, min(lp.opts.WatchWait(), maxWatchWait)
+	ch, err := lp.opts.Store.Watch(ctx, lp.opts.Prefix, after, wait)
 	if err != nil {
 		return 0, err
 	}
+	confirmedAt := lp.opts.SinceBoot()
+	if confirmedAt-requestedAt > wait+maxResponseDelay {
+		confirmedAt = requestedAt
+		lp.fo.CallDelayed()
+	}
 	lp.apply(ch)
+	lp.fo.CallSucceeded(confirmedAt)
 	if lp.opts.Relay != nil {
 		lp.opts.Relay.Record(after, ch, requestedAt)
 	}
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -47,7 +47,9 @@
 	rp.items[ev.Item.Key] = string(ev.Item.Value)
 }
 
-func (rp *replica) CallSucceeded() {}
+func (*replica) CallDelayed() {}
+
+func (*replica) CallSucceeded(time.Duration) {}
 
 func (rp *replica) CallFailed(error) {
 	rp.mu.Lock()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -183,9 +184,12 @@
 	ss.applyOperatorItem(it)
 }
 
-// CallSucceeded records that the store has answered.
-func (ss *storeState) CallSucceeded() {
-	ss.targets.Confirm(ss.seenRevision.Load())
+// CallDelayed records that changes may have been missed until now.
+func (ss *storeState) CallDelayed() { ss.targets.Interrupt() }
+
+// CallSucceeded records that the store has answered and its changes up to confirmedAt have been applied.
+func (ss *storeState) CallSucceeded(confirmedAt time.Duration) {
+	ss.targets.Confirm(ss.seenRevision.Load(), confirmedAt)
 	if outage := ss.fleet.StoreReached(); outage > 0 || ss.unreachable {
 		ss.unreachable = false
 		ss.log.WithFields(logrus.Fields{"dependency": "metadata-store", "away-ms": outage.Milliseconds()}).Info("Dependency is back.")
--- a/internal/weights/host_test.go
+++ b/internal/weights/host_test.go
@@ -46,6 +46,8 @@
 		targets *weights.Targets
 		applied uint64
 		stop    func()
+		// sinceBoot is the boot-time clock of the machine.
+		sinceBoot func() time.Duration
 		// suspended is how long the machine of the host has been suspended.
 		suspended time.Duration
 	}
@@ -106,9 +108,9 @@
 	lg.SetOutput(io.Discard)
 	boot := ck.Now().Add(-time.Hour)
 	ho := &host{t: t, st: st}
-	sinceBoot := func() time.Duration { return ck.Now().Sub(boot) + ho.suspended }
+	ho.sinceBoot = func() time.Duration { return ck.Now().Sub(boot) + ho.suspended }
 	ho.targets = weights.New(weights.Options{
-		Clock: ck, SinceBoot: sinceBoot, Store: st, RecordPrefix: recordPrefix, CheckpointKey: checkpointKey,
+		Clock: ck, SinceBoot: ho.sinceBoot, Store: st, RecordPrefix: recordPrefix, CheckpointKey: checkpointKey,
 		RecordDelay: func() time.Duration { return 0 }, MaxAge: func() time.Duration { return maxAge },
 		Log: lg,
 	})
@@ -143,7 +145,7 @@
 		require.NoError(ho.t, err)
 		ho.targets.Select(weights.Selection{Model: modelName, Version: version, Item: it})
 	}
-	ho.targets.Confirm(ho.applied)
+	ho.targets.Confirm(ho.applied, ho.sinceBoot())
 }
 
 // run lets a duration pass in steps, after each of which the hosts have applied all changes.
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -73,20 +73,21 @@
 		confirmedAt       time.Duration
 		confirmedRevision uint64
 		// isConfirmed reports whether the host has ever known all changes, isInterrupted whether it may have
-		// missed some since confirmedAt.
+		// missed some since confirmedAt; interruptedAt is when it learned that.
 		isConfirmed, isInterrupted bool
+		interruptedAt              time.Duration
 	}
 
 	// model holds the target versions of one model: the newest, the reading of SinceBoot since when each has
 	// been the target, and which of them the stored record has, as of its revision.
 	model struct {
-		newest   uint64
-		since    map[uint64]time.Duration
+		newest uint64
+		since  map[uint64]time.Duration
 		// notBefore holds for versions that this host saw being selected the last moment before, at which they
 		// were not.
 		notBefore map[uint64]time.Duration
 		recorded  map[uint64]bool
-		revision uint64
+		revision  uint64
 		// expired is the newest version whose predecessors have been logged as expired.
 		expired uint64
 	}
@@ -121,25 +122,25 @@
 
 // New returns targets without versions.
 func New(opts Options) *Targets {
-	ta := &Targets{opts: opts, models: make(map[string]*model), isInterrupted: true}
-	ta.checkpoint.seenAt = opts.SinceBoot()
+	ta := &Targets{opts: opts, models: make(map[string]*model), isInterrupted: true, interruptedAt: opts.SinceBoot()}
+	ta.checkpoint.seenAt = ta.interruptedAt
 	return ta
 }
 
-// Confirm states that the host has applied all changes of the metadata store up to now, the newest of which has the
-// given revision.
-func (ta *Targets) Confirm(revision uint64) {
+// Confirm states that the host has applied all changes of the metadata store up to confirmedAt, a reading of SinceBoot,
+// the newest of which has the given revision. An interruption lasts until a moment after it is confirmed.
+func (ta *Targets) Confirm(revision uint64, confirmedAt time.Duration) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	ta.confirmedAt, ta.confirmedRevision = ta.opts.SinceBoot(), revision
-	ta.isConfirmed, ta.isInterrupted = true, false
+	ta.confirmedAt, ta.confirmedRevision, ta.isConfirmed = confirmedAt, revision, true
+	ta.isInterrupted = ta.isInterrupted && confirmedAt < ta.interruptedAt
 }
 
-// Interrupt states that the host may miss changes from now on, or has missed some, until the next call of Confirm.
+// Interrupt states that the host may miss changes from now on, or has missed some.
 func (ta *Targets) Interrupt() {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	ta.isInterrupted = true
+	ta.isInterrupted, ta.interruptedAt = true, ta.opts.SinceBoot()
 }
 
 // Select makes a version the target of its model. It returns false if the version is not newer than the current
