weights: keep a step of the wall clock out of stored times

Cause: records and checkpoints hold wall-clock times. A host whose clock is ahead for some seconds stored a version as named seconds later than it was, and hosts that restarted used older weights for longer by so much; with its clock behind, engines left use too early. Change: a host converts times by the distance between its wall clock and its boot-time clock, and adopts a step of that distance only after a minute. Measured: TestStepOfTheWallClockDoesNotChangeStoredAges fails in both directions without that.

--- a/internal/weights/host_test.go
+++ b/internal/weights/host_test.go
@@ -48,11 +48,21 @@
 		stop    func()
 		// sinceBoot is the boot-time clock of the machine.
 		sinceBoot func() time.Duration
-		// suspended is how long the machine of the host has been suspended.
-		suspended time.Duration
+		// suspended is how long the machine of the host has been suspended, clockStep how far its wall clock
+		// has been stepped.
+		suspended, clockStep time.Duration
 	}
 )
 
+// steppedClock is the wall clock of a host.
+type steppedClock struct {
+	*clockwork.FakeClock
+
+	ho *host
+}
+
+func (sc steppedClock) Now() time.Time { return sc.FakeClock.Now().Add(sc.ho.clockStep) }
+
 func newMemoryStore() *memoryStore { return &memoryStore{items: make(map[string]metastore.Item)} }
 
 // Commit applies a transaction if its conditions hold.
@@ -110,7 +120,7 @@
 	ho := &host{t: t, st: st}
 	ho.sinceBoot = func() time.Duration { return ck.Now().Sub(boot) + ho.suspended }
 	ho.targets = weights.New(weights.Options{
-		Clock: ck, SinceBoot: ho.sinceBoot, Store: st, RecordPrefix: recordPrefix, CheckpointKey: checkpointKey,
+		Clock: steppedClock{FakeClock: ck, ho: ho}, SinceBoot: ho.sinceBoot, Store: st, RecordPrefix: recordPrefix, CheckpointKey: checkpointKey,
 		RecordDelay: func() time.Duration { return 0 }, MaxAge: func() time.Duration { return maxAge },
 		Log: lg,
 	})
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -68,6 +68,7 @@
 		mu         sync.Mutex
 		models     map[string]*model
 		checkpoint checkpoint
+		wall       wallClock
 		// confirmedAt is the reading of SinceBoot at which this host last knew all changes of the store, and
 		// confirmedRevision the newest revision that it had then applied.
 		confirmedAt       time.Duration
@@ -124,6 +125,7 @@
 func New(opts Options) *Targets {
 	ta := &Targets{opts: opts, models: make(map[string]*model), isInterrupted: true, interruptedAt: opts.SinceBoot()}
 	ta.checkpoint.seenAt = ta.interruptedAt
+	ta.observeClocks()
 	return ta
 }
 
@@ -235,13 +237,12 @@
 // fromUnixMilli returns the reading of SinceBoot at a time that a host has stored. Wall clocks differ between
 // hosts; a time in the future counts as now.
 func (ta *Targets) fromUnixMilli(ms int64) time.Duration {
-	return ta.opts.SinceBoot() - max(0, ta.opts.Clock.Now().Sub(time.UnixMilli(ms)))
+	ta.observeClocks()
+	return min(ta.wall.sinceBoot(ms), ta.opts.SinceBoot())
 }
 
-// toUnixMilli returns the wall-clock time at a reading of SinceBoot.
-func (ta *Targets) toUnixMilli(at time.Duration) int64 {
-	return ta.opts.Clock.Now().Add(at - ta.opts.SinceBoot()).UnixMilli()
-}
+// observeClocks notes how far the wall clock is from the boot-time clock.
+func (ta *Targets) observeClocks() { ta.wall.observe(ta.opts.Clock.Now(), ta.opts.SinceBoot()) }
 
 // Target returns the target version of a model, zero if none has been selected.
 func (ta *Targets) Target(name string) uint64 {
@@ -311,7 +312,7 @@
 			return tx, false
 		}
 	}
-	value, err := json.Marshal(storedCheckpoint{Revision: ta.confirmedRevision, AtMs: ta.toUnixMilli(ta.confirmedAt)})
+	value, err := json.Marshal(storedCheckpoint{Revision: ta.confirmedRevision, AtMs: ta.wall.unixMilli(ta.confirmedAt)})
 	if err != nil {
 		return tx, false
 	}
@@ -325,6 +326,7 @@
 func (ta *Targets) logExpired() {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
+	ta.observeClocks()
 	now := ta.opts.SinceBoot()
 	for name, mo := range ta.models {
 		age := now - mo.since[mo.newest]
@@ -351,7 +353,7 @@
 		versions := slices.Sorted(maps.Keys(mo.since))
 		rec := make(record, maxRecordedVersions)
 		for _, version := range versions[max(0, len(versions)-maxRecordedVersions):] {
-			rec[version] = ta.toUnixMilli(mo.since[version])
+			rec[version] = ta.wall.unixMilli(mo.since[version])
 		}
 		value, err := json.Marshal(rec)
 		if err != nil {
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -1,6 +1,7 @@
 package weights_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -229,3 +230,40 @@
 	run(t, ck, maxAge-time.Second, ho)
 	require.False(t, ho.targets.IsExpired(modelName, 1))
 }
+
+func TestStepOfTheWallClockDoesNotChangeStoredAges(t *testing.T) {
+	for _, step := range []time.Duration{-3 * time.Second, 3 * time.Second} {
+		t.Run(step.String(), func(t *testing.T) {
+			ck, st := clockwork.NewFakeClock(), newMemoryStore()
+			st.selectVersion(1)
+			first := startHost(t, ck, st)
+			run(t, ck, 10*time.Second, first)
+			first.clockStep = step
+			st.selectVersion(2)
+			first.deliver()
+			run(t, ck, 5*time.Second, first)
+			first.stop()
+			restarted := startHost(t, ck, st)
+			run(t, ck, maxAge-5*time.Second-200*time.Millisecond, restarted)
+			require.False(t, restarted.targets.IsExpired(modelName, 1))
+			run(t, ck, 400*time.Millisecond, restarted)
+			require.True(t, restarted.targets.IsExpired(modelName, 1))
+		})
+	}
+}
+
+func TestLastingStepOfTheWallClockIsAdopted(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	first := startHost(t, ck, st)
+	run(t, ck, 10*time.Second, first)
+	first.clockStep = time.Hour
+	run(t, ck, 2*time.Minute, first)
+	st.selectVersion(2)
+	first.deliver()
+	run(t, ck, 5*time.Second, first)
+	first.stop()
+	var record map[uint64]int64
+	require.NoError(t, json.Unmarshal(st.items[recordPrefix+modelName].Value, &record))
+	require.InDelta(t, ck.Now().Add(time.Hour-5*time.Second).UnixMilli(), record[2], 1)
+}
