--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -282,19 +282,28 @@
 		}
 		ta.logExpired()
 		for _, pr := range ta.pendingRecords() {
-			// A conflict means that another host has written the record. Versions that it lacks
-			// are written at the next check.
-			if _, err := ta.opts.Store.Commit(ctx, pr.tx); err == nil {
+			// Versions that the record of another host lacks are written at the next check.
+			if ta.commit(ctx, pr.tx) {
 				ta.markRecorded(pr)
 			}
 		}
 		if tx, ok := ta.dueCheckpoint(); ok {
-			// A conflict means that another host has written one.
-			_, _ = ta.opts.Store.Commit(ctx, tx)
+			ta.commit(ctx, tx)
 		}
 	}
 }
 
+// commit commits a transaction and reports whether it succeeded. A conflict means that another host was faster; after
+// any other failure the next check tries again.
+func (ta *Targets) commit(ctx context.Context, tx metastore.Transaction) bool {
+	_, err := ta.opts.Store.Commit(ctx, tx)
+	var conflict *metastore.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		ta.opts.Log.WithFields(logrus.Fields{"key": tx.Puts[0].Key, "cause": err.Error()}).Info("Item was not written.")
+	}
+	return err == nil
+}
+
 // dueCheckpoint returns the transaction that writes a checkpoint; ok is false if none is due or a target is not
 // recorded yet.
 func (ta *Targets) dueCheckpoint() (tx metastore.Transaction, ok bool) {
