retry: let the share of the slack grow after a start

Cause: the counts of retries live in memory, and a host that has just started had its whole share of the slack again. After a restart of all hosts within a window a service could get nearly twice the slack. Besides, the slices of the window followed the wall clock, so that a step forward dropped counts. Change: the share grows from a half to the whole over the first window, and slices are counted from the start of the budget. A third restart within one window is not covered.

--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -11,6 +11,9 @@
 	// windowSkewMargin scales the bound of each host, so that the sum over all hosts stays below the bound
 	// although their windows are not aligned.
 	windowSkewMargin = 0.8
+	// initialSlackShare is the share of the slack that a host may use when it has just started, so that a restart
+	// of all hosts within a window does not double the slack.
+	initialSlackShare = 0.5
 	// slicesPerWindow is the number of slices of a window; counts expire one slice at a time.
 	slicesPerWindow = 20
 )
@@ -28,9 +31,13 @@
 
 	// WindowBudget counts requests and retries by service over a sliding window. Each host enforces its own
 	// share of the limits, so that hosts need not coordinate. It is safe for concurrent use.
+	//
+	// A budget does not know the retries that its host sent before a restart, so its share of the slack grows over
+	// the first window.
 	WindowBudget struct {
-		ck     clock.Clock
-		limits Limits
+		ck        clock.Clock
+		limits    Limits
+		createdAt time.Time
 
 		mu        sync.Mutex
 		hostCount int
@@ -47,7 +54,7 @@
 
 // NewWindowBudget returns empty counters for a site with one host.
 func NewWindowBudget(ck clock.Clock, limits Limits) *WindowBudget {
-	return &WindowBudget{ck: ck, limits: limits, hostCount: 1, services: make(map[string]*windowCounts)}
+	return &WindowBudget{ck: ck, limits: limits, createdAt: ck.Now(), hostCount: 1, services: make(map[string]*windowCounts)}
 }
 
 // SetHostCount sets the number of hosts that share the slack.
@@ -86,7 +93,11 @@
 		requests += co.requests[i]
 		retries += co.retries[i]
 	}
-	allowed := windowSkewMargin * (wb.limits.Ratio*float64(requests) + wb.limits.Slack/float64(wb.hostCount))
+	slack := wb.limits.Slack / float64(wb.hostCount)
+	if age := wb.ck.Now().Sub(wb.createdAt); age < wb.limits.Window {
+		slack *= initialSlackShare + (1-initialSlackShare)*float64(age)/float64(wb.limits.Window)
+	}
+	allowed := windowSkewMargin * (wb.limits.Ratio*float64(requests) + slack)
 	if float64(retries+1) > allowed {
 		return false
 	}
@@ -97,12 +108,11 @@
 // currentCounts returns the counts of a service after dropping the slices that left the window.
 func (wb *WindowBudget) currentCounts(service string) *windowCounts {
 	co := wb.services[service]
-	currentSlice := wb.ck.Now().UnixNano() / max(1, int64(wb.limits.Window)/slicesPerWindow)
+	currentSlice := int64(wb.ck.Now().Sub(wb.createdAt)) / max(1, int64(wb.limits.Window)/slicesPerWindow)
 	if co == nil {
 		co = &windowCounts{newestSlice: currentSlice}
 		wb.services[service] = co
 	}
-	// A clock that jumps back leaves the counts unchanged.
 	for step := 0; co.newestSlice < currentSlice && step < slicesPerWindow; step++ {
 		co.newestSlice++
 		co.requests[co.newestSlice%slicesPerWindow] = 0
