standin/site: endpoints crash at a part of a prompt, and start again

CrashOnPart stops an endpoint that is about to write the first event for a prompt with the given part, and breaks all else that runs there. Restart starts it with the same ID and a new start time, at the same address if it is still free. Close now closes the listener before it aborts responses, so that a broken response is never seen while the endpoint still accepts connections.

--- a/internal/standin/site/cache.go
+++ b/internal/standin/site/cache.go
@@ -32,7 +32,7 @@
 	}
 	ep.mu.Lock()
 	lost := since > 0 && since != len(ep.parts)
-	next := len(ep.parts)
+	next, epoch := len(ep.parts), ep.bootEpoch
 	var events [][]any
 	for i, cp := range ep.parts {
 		if i >= since {
@@ -48,7 +48,7 @@
 		}
 	}
 	writeJSON(w, http.StatusOK, map[string]any{
-		"bootEpoch": ep.bootEpoch, "next": next, "lost": lost, "clock_ms": time.Now().UnixMilli(), "events": events,
+		"bootEpoch": epoch, "next": next, "lost": lost, "clock_ms": time.Now().UnixMilli(), "events": events,
 	})
 }
 
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -6,14 +6,21 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
-// responseSeal is the value of X-Response-Seal, the header by which an endpoint confirms its response.
-const responseSeal = "stand-in.seal"
+const (
+	// responseSeal is the value of X-Response-Seal, the header by which an endpoint confirms its response.
+	responseSeal = "stand-in.seal"
+	// loopback is the address for a listener on a free port.
+	loopback = "127.0.0.1:0"
+	// firstStartTimeMs is the start time in the entry of an endpoint that has not been restarted.
+	firstStartTimeMs = 1000
+)
 
 type (
 	// EndpointFault is a fault that an endpoint applies to one request.
@@ -21,17 +28,21 @@
 
 	// Endpoint emulates an engine, a plain service or a cache store. It is safe for concurrent use.
 	Endpoint struct {
-		opts     EndpointOptions
-		server   *http.Server
-		listener net.Listener
+		opts EndpointOptions
 
 		mu            sync.Mutex
+		server        *http.Server
+		listener      net.Listener
 		id            string
+		startTimeMs   int64
+		stoppedAt     time.Time
 		pendingFaults []EndpointFault
 		requests      []RecordedRequest
 		orders        []WeightOrder
 		weightVersion uint64
-		// closed is closed when the endpoint stops.
+		// crashPart is the ID of the prompt part that crashes the endpoint; empty if none.
+		crashPart string
+		// closed is closed when the endpoint stops. Restart replaces it.
 		closed         chan struct{}
 		parts          []cachePart
 		bootEpoch      uint64
@@ -125,29 +136,69 @@
 
 // NewEndpoint starts an endpoint on a free loopback port.
 func NewEndpoint(opts EndpointOptions) (*Endpoint, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, errors.Wrap(err, "site: listen")
 	}
-	ep := &Endpoint{opts: opts, listener: ln, id: opts.ID, weightVersion: 1, bootEpoch: 1, closed: make(chan struct{})}
-	ep.server = &http.Server{Handler: ep, ReadHeaderTimeout: time.Second}
-	go func() { _ = ep.server.Serve(ln) }()
+	ep := &Endpoint{opts: opts, id: opts.ID, startTimeMs: firstStartTimeMs, weightVersion: 1, bootEpoch: 1}
+	ep.serve(ln)
 	return ep, nil
 }
 
+// serve serves requests that arrive at ln.
+func (ep *Endpoint) serve(ln net.Listener) {
+	srv := &http.Server{Handler: ep, ReadHeaderTimeout: time.Second}
+	ep.server, ep.listener, ep.closed, ep.stoppedAt = srv, ln, make(chan struct{}), time.Time{}
+	go func() { _ = srv.Serve(ln) }()
+}
+
 // Address returns the listen address.
-func (ep *Endpoint) Address() string { return ep.listener.Addr().String() }
+func (ep *Endpoint) Address() string {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	return ep.listener.Addr().String()
+}
 
 // Close stops the endpoint and aborts unfinished responses.
 func (ep *Endpoint) Close() {
 	ep.mu.Lock()
-	select {
-	case <-ep.closed:
-	default:
-		close(ep.closed)
+	defer ep.mu.Unlock()
+	if !ep.stoppedAt.IsZero() {
+		return
 	}
-	ep.mu.Unlock()
+	ep.stoppedAt = time.Now()
 	_ = ep.server.Close()
+	close(ep.closed)
+}
+
+// StoppedAt returns the time at which the endpoint stopped, or the zero time if it is running.
+func (ep *Endpoint) StoppedAt() time.Time {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	return ep.stoppedAt
+}
+
+// Restart starts a stopped endpoint with the same ID and a new start time. It listens on the same address
+// unless another process has taken it in the meantime. The recorded requests are kept. Restart does nothing
+// while the endpoint is running.
+func (ep *Endpoint) Restart() error {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	if ep.stoppedAt.IsZero() {
+		return nil
+	}
+	ln, err := net.Listen("tcp", ep.listener.Addr().String())
+	if err != nil {
+		ln, err = net.Listen("tcp", loopback)
+	}
+	if err != nil {
+		return errors.Wrap(err, "site: listen")
+	}
+	ep.startTimeMs++
+	ep.bootEpoch++
+	ep.orders, ep.parts = nil, nil
+	ep.serve(ln)
+	return nil
 }
 
 // Entry returns the endpoint's key and entry in the metadata store.
@@ -156,7 +207,7 @@
 	defer ep.mu.Unlock()
 	value = map[string]any{
 		"service": ep.opts.Service, "address": ep.publicAddress(), "zone": ep.opts.Zone, "version": "v1", "slots": 8,
-		"state": state, "coldRemainingMs": 0, "born": 1000, "seq": 0,
+		"state": state, "coldRemainingMs": 0, "born": ep.startTimeMs, "seq": 0,
 	}
 	if ep.opts.Model != "" {
 		value["stage"] = "both"
@@ -166,10 +217,11 @@
 }
 
 func (ep *Endpoint) publicAddress() string {
+	address := ep.listener.Addr().String()
 	if ep.opts.PublicAddress == nil {
-		return ep.Address()
+		return address
 	}
-	return ep.opts.PublicAddress(ep.Address())
+	return ep.opts.PublicAddress(address)
 }
 
 // SetID changes the endpoint's ID, as if another endpoint had taken over the address.
@@ -193,6 +245,14 @@
 	ep.pendingFaults = nil
 }
 
+// CrashOnPart makes the endpoint stop, from now on and after each restart, when it is about to write the
+// first event for a request whose prompt has the part before its last. It sends nothing for that request.
+func (ep *Endpoint) CrashOnPart(id string) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	ep.crashPart = id
+}
+
 // RecordedRequests returns the executed requests in the order in which they were read.
 func (ep *Endpoint) RecordedRequests() []RecordedRequest {
 	ep.mu.Lock()
@@ -234,7 +294,8 @@
 
 func (ep *Endpoint) handleRequest(w http.ResponseWriter, rq *http.Request) {
 	ep.mu.Lock()
-	id, version := ep.id, ep.weightVersion
+	id, version, closed := ep.id, ep.weightVersion, ep.closed
+	crashes := ep.crashPart != "" && hasSharedPart(rq.Header.Get("X-Prompt-Prefix"), ep.crashPart)
 	fault := NoEndpointFault
 	if len(ep.pendingFaults) > 0 {
 		fault, ep.pendingFaults = ep.pendingFaults[0], ep.pendingFaults[1:]
@@ -278,7 +339,7 @@
 		select {
 		case <-rq.Context().Done():
 			ep.countAbandoned()
-		case <-ep.closed:
+		case <-closed:
 		}
 		panic(http.ErrAbortHandler)
 	case OmitSeal:
@@ -292,7 +353,11 @@
 	case NoEndpointFault, ShedLoad, TruncateResponse, RespondBeforeBody:
 	}
 	if ep.opts.EventCount > 0 {
-		ep.writeStream(w, rq, fault)
+		if crashes {
+			ep.Close()
+			panic(http.ErrAbortHandler)
+		}
+		ep.writeStream(w, rq, fault, closed)
 		return
 	}
 	if fault == TruncateResponse {
@@ -318,7 +383,18 @@
 	ep.abandonedCount++
 }
 
-func (ep *Endpoint) writeStream(w http.ResponseWriter, rq *http.Request, fault EndpointFault) {
+// hasSharedPart reports whether a prompt, in the format of X-Prompt-Prefix, has the part before its last.
+func hasSharedPart(prompt, id string) bool {
+	parts := strings.Split(prompt, ",")
+	for _, part := range parts[:len(parts)-1] {
+		if partID, _, _ := strings.Cut(part, ":"); partID == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (ep *Endpoint) writeStream(w http.ResponseWriter, rq *http.Request, fault EndpointFault, closed <-chan struct{}) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	// Without a valid Last-Event-Id the stream starts from the first event.
@@ -341,7 +417,7 @@
 		case <-rq.Context().Done():
 			ep.countAbandoned()
 			return
-		case <-ep.closed:
+		case <-closed:
 			panic(http.ErrAbortHandler)
 		case <-time.After(ep.opts.EventInterval):
 		}
