attempt: take a body that was reset while the request was written for broken

What callers saw: a response without a length ends with its connection. If the endpoint answered before it had read a long request and then reset the connection, the first part of its body was taken for the whole body and delivered as a complete 200.

Cause: the kernel reports a reset to one call only. A request over 2 KiB is written while the response is read; if the write received the error, the read returned io.EOF, which for such a body means that it is complete.

Change: at the end of a body without length or chunks the connection must still have a peer; a connection that was reset has none (getpeername fails with ENOTCONN), one that the peer closed in order does. This does not depend on whether the write has reported its error yet.

Evidence: TestBodyThatIsResetWhileTheRequestIsWrittenIsNotComplete resets 40 responses while 8 MiB are written. TestBodyWithoutLengthEndsWithItsConnection (delivered whole after an orderly end, broken after a reset, connection never reused) passed before as well.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -194,6 +194,8 @@
 func (rs *Response) Read(p []byte) (int, error) {
 	n, err := rs.rsp.Body.Read(p)
 	switch {
+	case errors.Is(err, io.EOF) && !rs.hasDelimitedBody() && isReset(rs.conn.Conn):
+		err = &BrokenError{target: rs.target, cause: syscall.ECONNRESET}
 	case errors.Is(err, io.EOF):
 		rs.bodyRead = true
 	case err != nil:
@@ -371,6 +373,26 @@
 	return err == nil && idle
 }
 
+// isReset reports whether a connection of which the end has been read was reset. The kernel reports a reset to
+// only one call: if a concurrent write has received the error, reads return io.EOF.
+func isReset(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		// A connection that the peer has closed still has a peer; one that was reset has none.
+		_, perr := syscall.Getpeername(int(fd))
+		reset = errors.Is(perr, syscall.ENOTCONN)
+	})
+	return err != nil || reset
+}
+
 // idleTimeout returns how long a connection may stay idle after a response with header hd.
 func idleTimeout(hd http.Header) time.Duration {
 	for _, param := range strings.Split(hd.Get("Keep-Alive"), ",") {
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -180,3 +181,81 @@
 	po.CloseIdle(target)
 	po.CloseIdleExcept(func(attempt.Target) bool { return false })
 }
+
+// respondAndClose reads the header of a request, sends response and closes the connection, with a reset if
+// isReset is set.
+func respondAndClose(response string, isReset bool) func(net.Conn, *bufio.Reader) {
+	return func(nc net.Conn, br *bufio.Reader) {
+		if !readHead(br) {
+			return
+		}
+		_, _ = io.WriteString(nc, response)
+		if isReset {
+			reset(nc)
+		}
+	}
+}
+
+// reset closes a connection with a reset.
+func reset(nc net.Conn) {
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = nc.Close()
+}
+
+func TestBodyWithoutLengthEndsWithItsConnection(t *testing.T) {
+	for name, response := range map[string]string{
+		"HTTP/1.1":            "HTTP/1.1 200 OK\r\n\r\nok",
+		"HTTP/1.1, closing":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok",
+		"HTTP/1.1, kept open": "HTTP/1.1 200 OK\r\nConnection: keep-alive\r\nKeep-Alive: timeout=60\r\n\r\nok",
+		"HTTP/1.0":            "HTTP/1.0 200 OK\r\n\r\nok",
+	} {
+		for _, isReset := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", reset ", isReset), func(t *testing.T) {
+				target, opened := serve(t, respondAndClose(response, isReset))
+				po := attempt.NewPool(attempt.Options{})
+				for want := int64(1); want <= 3; want++ {
+					rs, err := send(t, po, target, "")
+					require.NoError(t, err)
+					require.Equal(t, int64(-1), rs.BodyLength())
+					data, err := io.ReadAll(rs)
+					rs.Close()
+					require.Equal(t, want, opened.Load(), "the connection must not be reused")
+					if isReset {
+						var broken *attempt.BrokenError
+						require.ErrorAs(t, err, &broken)
+						continue
+					}
+					require.NoError(t, err)
+					require.Equal(t, "ok", string(data))
+				}
+			})
+		}
+	}
+}
+
+func TestBodyThatIsResetWhileTheRequestIsWrittenIsNotComplete(t *testing.T) {
+	po := attempt.NewPool(attempt.Options{})
+	body := strings.Repeat("x", 8<<20)
+	for range 40 {
+		proceed, closed := make(chan struct{}), make(chan struct{})
+		target, _ := serve(t, func(nc net.Conn, br *bufio.Reader) {
+			defer close(closed)
+			if !readHead(br) {
+				return
+			}
+			_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			<-proceed
+			reset(nc)
+		})
+		rs, err := send(t, po, target, body)
+		require.NoError(t, err)
+		close(proceed)
+		<-closed
+		_, err = io.ReadAll(rs)
+		rs.Close()
+		var broken *attempt.BrokenError
+		require.ErrorAs(t, err, &broken)
+	}
+}
