gateway: reset the connection of an HTTP/1.0 client whose response breaks off

What callers saw: an HTTP/1.0 client got the first events of a stream, or the first part of a long response, as a complete response when the endpoint broke off.

Cause: a response that has begun is aborted by closing the client's connection. HTTP/1.1 clients notice, as the last chunk or a part of the announced length is missing. HTTP/1.0 has no chunks: a response without a length ends with its connection, so that the close looked like its end.

Change: the connection of an HTTP/1.0 client is reset when its response is aborted.

Evidence: TestPartialResponseIsNotComplete plays 19 responses that end early, within an event or by a reset, to clients of both versions. TestResponseThatEndsWithItsConnectionIsDelivered and TestEventsOfAnUndelimitedStreamArriveOneByOne passed before as well: whole responses without length reach the client whole, with the framing of its version, event by event, and the connection to the endpoint is not reused.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -59,6 +60,9 @@
 		pinnedVersion uint64
 		// headerWritten is set once the response header has been written to the client.
 		headerWritten bool
+		// resetOnAbort is set if the client uses HTTP/1.0, which has no chunks: there the end of the
+		// connection may be the end of a complete response, and only a reset is not.
+		resetOnAbort bool
 		// lastEventID is the ID of the last event that the client received; empty if none.
 		lastEventID string
 		// events counts the events written to the client.
@@ -330,9 +334,26 @@
 // complete.
 func (fw *forwarder) abort(reason string, cause error) {
 	fw.recordEnd(reason, http.StatusOK, cause)
+	if fw.resetOnAbort {
+		fw.resetClient()
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetClient resets the connection to the client.
+func (fw *forwarder) resetClient() {
+	conn, _, err := http.NewResponseController(fw.w).Hijack()
+	if err != nil {
+		fw.gw.opts.Log.WithError(err).WithField("request", fw.rq.ID).Warn("Cannot reset the connection to a client.")
+		return
+	}
+	if tc, ok := conn.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tc.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 func (fw *forwarder) recordEnd(outcome string, status int, cause error) {
 	fw.gw.recordEnd(fw.rq, outcome, status, cause, fw.logFields())
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -148,7 +148,7 @@
 		gw.refuse(w, rq, status, reason, 0, nil)
 		return
 	}
-	fw := &forwarder{gw: gw, w: w, rq: rq, ct: ct}
+	fw := &forwarder{gw: gw, w: w, rq: rq, ct: ct, resetOnAbort: !hr.ProtoAtLeast(1, 1)}
 	fw.run(hr.Context())
 }
 
