node: test streams and responses that end with their connection

New faults of the endpoint stand-in: a response without length that is reset on the way, a stream without length that ends inside an event, with and without a crash, and a chunked stream whose last chunk comes inside an event. A stream that breaks off in one of these ways is resumed at another engine after its last whole event where the route allows it; otherwise the client's connection is cut after that event. A whole stream that ends with its connection is delivered as complete, and a plain response that is reset is retried or answered with 502.

The test of resumption injected its fault into the first engine only. The test now injects the fault into the engine that has read the prompt, and checks that each engine got its part.

--- a/internal/node/serve_test.go
+++ b/internal/node/serve_test.go
@@ -83,7 +83,7 @@
 	no := env.startReadyHost("host-1")
 	faults := []site.EndpointFault{
 		site.NoEndpointFault, site.ShedLoad, site.ResetConnection, site.TruncateResponse, site.OmitSeal, site.WrongResponseFirst, site.ExtraResponse, site.RespondBeforeBody, site.InternalError,
-		site.CloseDelimited,
+		site.CloseDelimited, site.ResetCloseDelimited, site.EndInsideEvent, site.EndChunksInsideEvent,
 	}
 	for _, uri := range []string{"/pay/1", "/look/1", "/note/1", "/query/1"} {
 		for _, fault := range faults {
@@ -130,7 +130,7 @@
 	env := newTestEnv(t, 0, 2)
 	env.writeConfiguration()
 	no := env.startReadyHost("host-1")
-	for _, fault := range []site.EndpointFault{site.ResetConnection, site.TruncateResponse, site.OmitSeal, site.InternalError, site.ShedLoad} {
+	for _, fault := range []site.EndpointFault{site.ResetConnection, site.TruncateResponse, site.OmitSeal, site.InternalError, site.ShedLoad, site.CloseDelimited, site.ResetCloseDelimited} {
 		env.plainEndpoints[0].ClearFaults()
 		env.plainEndpoints[1].ClearFaults()
 		env.plainEndpoints[0].InjectFaults(fault)
@@ -143,37 +143,108 @@
 	}
 }
 
+// streamFaults are the ways in which a stream breaks off.
+var streamFaults = map[string]site.EndpointFault{
+	"chunks cut within an event":             site.TruncateResponse,
+	"chunks ended within an event":           site.EndChunksInsideEvent,
+	"connection ended within an event":       site.EndInsideEvent,
+	"connection reset between two events":    site.ResetCloseDelimited,
+	"endpoint crashed while within an event": site.CrashInsideEvent,
+}
+
+// wholeStream is the body of a stream that is complete.
+func wholeStream(requestID string) string {
+	var out strings.Builder
+	for i := range 8 {
+		fmt.Fprintf(&out, "id: %d\ndata: %s event %d\n\n", i+1, requestID, i+1)
+	}
+	return out.String()
+}
+
 func TestResumableStreamContinuesOnAnotherEngine(t *testing.T) {
 	t.Parallel()
-	env := newTestEnv(t, 2, 0)
+	for name, fault := range streamFaults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t, 2, 0)
+			env.writeConfiguration()
+			no := env.startReadyHost("host-1")
+			// Equal prompts go to the engine that has read them.
+			env.send(no, http.MethodPost, "/query/1", env.requestID(), "", promptHeaders())
+			first, second := env.engines[0], env.engines[1]
+			if len(first.RecordedRequests()) == 0 {
+				first, second = second, first
+			}
+			first.InjectFaults(fault)
+			requestID := env.requestID()
+			re := env.send(no, http.MethodPost, "/query/1", requestID, "", promptHeaders())
+			require.Equal(t, http.StatusOK, re.status)
+			require.True(t, re.complete)
+			require.Equal(t, wholeStream(requestID), re.body)
+			require.Len(t, first.RecordedRequests(), 2)
+			require.Len(t, second.RecordedRequests(), 1)
+			require.Equal(t, "2", second.RecordedRequests()[0].Header.Get("Last-Event-Id"))
+		})
+	}
+}
+
+func TestStreamThatBreaksOffIsCut(t *testing.T) {
+	t.Parallel()
+	for name, fault := range streamFaults {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for _, tc := range []struct {
+				uri  string
+				runs int
+				body func(requestID string) string
+			}{
+				{"/note/1", 1, func(requestID string) string { return wholeStream(requestID)[:eventsLength(requestID, 2)] }},
+				{"/query/1", 2, func(requestID string) string { return wholeStream(requestID)[:eventsLength(requestID, 4)] }},
+			} {
+				env := newTestEnv(t, 2, 0)
+				env.writeConfiguration()
+				no := env.startReadyHost("host-1")
+				env.engines[0].InjectFaults(fault)
+				env.engines[1].InjectFaults(fault)
+				requestID := env.requestID()
+				re := env.send(no, http.MethodPost, tc.uri, requestID, "", promptHeaders())
+				require.False(t, re.complete, "a truncated response must not look complete")
+				require.Equal(t, tc.body(requestID), re.body, "only complete events are forwarded")
+				require.Len(t, env.runsOf(requestID), tc.runs)
+			}
+		})
+	}
+}
+
+// eventsLength returns the length of the first events of a stream.
+func eventsLength(requestID string, events int) int { return events * len(wholeStream(requestID)) / 8 }
+
+func TestUndelimitedStreamIsComplete(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t, 1, 0)
 	env.writeConfiguration()
 	no := env.startReadyHost("host-1")
-	for range 4 {
-		env.engines[0].InjectFaults(site.TruncateResponse)
+	for _, uri := range []string{"/note/1", "/query/1"} {
+		env.engines[0].InjectFaults(site.CloseDelimited)
 		requestID := env.requestID()
-		re := env.send(no, http.MethodPost, "/query/1", requestID, "", promptHeaders())
-		env.engines[0].ClearFaults()
+		re := env.send(no, http.MethodPost, uri, requestID, "", promptHeaders())
 		require.Equal(t, http.StatusOK, re.status)
 		require.True(t, re.complete)
-		var want strings.Builder
-		for i := range 8 {
-			fmt.Fprintf(&want, "id: %d\ndata: %s event %d\n\n", i+1, requestID, i+1)
-		}
-		require.Equal(t, want.String(), re.body)
+		require.Equal(t, wholeStream(requestID), re.body)
+		require.Len(t, env.runsOf(requestID), 1)
 	}
 }
 
-func TestNonResumableStreamIsCut(t *testing.T) {
+func TestResetResponseWithoutLengthIsNotDelivered(t *testing.T) {
 	t.Parallel()
-	env := newTestEnv(t, 2, 0)
+	env := newTestEnv(t, 0, 1)
 	env.writeConfiguration()
 	no := env.startReadyHost("host-1")
-	env.engines[0].InjectFaults(site.TruncateResponse)
-	env.engines[1].InjectFaults(site.TruncateResponse)
+	env.plainEndpoints[0].InjectFaults(site.ResetCloseDelimited)
 	requestID := env.requestID()
-	re := env.send(no, http.MethodPost, "/note/1", requestID, "", promptHeaders())
-	require.False(t, re.complete, "a truncated response must not look complete")
-	require.NotContains(t, re.body, "data: ha", "only complete events are forwarded")
+	re := env.send(no, http.MethodPost, "/pay/1", requestID, "", nil)
+	require.Equal(t, http.StatusBadGateway, re.status)
+	require.Empty(t, re.header.Get("X-Response-Seal"))
 	require.Len(t, env.runsOf(requestID), 1)
 }
 
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -121,8 +121,20 @@
 	CloseDelimited
 	// CrashOnRequest stops the endpoint once it has read the request.
 	CrashOnRequest
+	// ResetCloseDelimited resets the connection in the middle of a response without Content-Length, between
+	// two events of a stream.
+	ResetCloseDelimited
+	// EndInsideEvent ends a stream without Content-Length, and its connection, inside an event.
+	EndInsideEvent
+	// EndChunksInsideEvent ends a chunked stream with a last chunk inside an event.
+	EndChunksInsideEvent
+	// CrashInsideEvent stops the endpoint as EndInsideEvent ends the stream.
+	CrashInsideEvent
 )
 
+// eventsBeforeFault is the number of events before a fault that breaks off a stream.
+const eventsBeforeFault = 2
+
 // NewEndpoint starts an endpoint on a free loopback port.
 func NewEndpoint(opts EndpointOptions) (*Endpoint, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -286,10 +298,10 @@
 	case InternalError:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
-	case WrongResponseFirst, ExtraResponse, CloseDelimited:
+	case WrongResponseFirst, ExtraResponse, CloseDelimited, ResetCloseDelimited, EndInsideEvent, CrashInsideEvent:
 		ep.writeRaw(w, rq, fault)
 		return
-	case NoEndpointFault, ShedLoad, TruncateResponse, RespondBeforeBody:
+	case NoEndpointFault, ShedLoad, TruncateResponse, RespondBeforeBody, EndChunksInsideEvent:
 	}
 	if ep.opts.EventCount > 0 {
 		ep.writeStream(w, rq, fault)
@@ -321,15 +333,17 @@
 func (ep *Endpoint) writeStream(w http.ResponseWriter, rq *http.Request, fault EndpointFault) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
-	// Without a valid Last-Event-Id the stream starts from the first event.
-	lastEventID, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
-	for i := lastEventID + 1; i <= ep.opts.EventCount; i++ {
-		if fault == TruncateResponse && i == lastEventID+3 {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: ha", i)
+	first := firstEvent(rq)
+	for i := first; i <= ep.opts.EventCount; i++ {
+		if (fault == TruncateResponse || fault == EndChunksInsideEvent) && i == first+eventsBeforeFault {
+			_, _ = io.WriteString(w, partialEvent(i))
 			_ = rc.Flush()
+			if fault == EndChunksInsideEvent {
+				return
+			}
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s event %d\n\n", i, rq.Header.Get("X-Request-Id"), i); err != nil {
+		if _, err := io.WriteString(w, wholeEvent(rq, i)); err != nil {
 			ep.countAbandoned()
 			return
 		}
@@ -348,6 +362,41 @@
 	}
 }
 
+// firstEvent returns the number of the first event of a stream. Without a valid Last-Event-Id it is 1.
+func firstEvent(rq *http.Request) int {
+	lastEventID, _ := strconv.Atoi(rq.Header.Get("Last-Event-Id"))
+	return lastEventID + 1
+}
+
+func wholeEvent(rq *http.Request, i int) string {
+	return fmt.Sprintf("id: %d\ndata: %s event %d\n\n", i, rq.Header.Get("X-Request-Id"), i)
+}
+
+func partialEvent(i int) string { return fmt.Sprintf("id: %d\ndata: ha", i) }
+
+// undelimitedBody returns the body of a response without Content-Length, as far as fault lets it be sent.
+func (ep *Endpoint) undelimitedBody(rq *http.Request, fault EndpointFault) string {
+	if ep.opts.EventCount == 0 {
+		body := "body of " + rq.Header.Get("X-Request-Id")
+		if fault == ResetCloseDelimited {
+			return body[:len(body)/2]
+		}
+		return body
+	}
+	body := ""
+	first := firstEvent(rq)
+	for i := first; i <= ep.opts.EventCount; i++ {
+		if fault != CloseDelimited && i == first+eventsBeforeFault {
+			if fault != ResetCloseDelimited {
+				body += partialEvent(i)
+			}
+			break
+		}
+		body += wholeEvent(rq, i)
+	}
+	return body
+}
+
 // writeRaw writes responses that net/http cannot write: more than one, or one without a length.
 func (ep *Endpoint) writeRaw(w http.ResponseWriter, rq *http.Request, fault EndpointFault) {
 	conn, buf, err := http.NewResponseController(w).Hijack()
@@ -369,8 +418,16 @@
 	case ExtraResponse:
 		_, _ = buf.WriteString(response(id, body) + response(id, "late"))
 	default:
-		_, _ = buf.WriteString(header(id) + "\r\n" + body)
+		_, _ = buf.WriteString(header(id) + "\r\n" + ep.undelimitedBody(rq, fault))
 	}
 	// A flush fails only if the client has disconnected.
 	_ = buf.Flush()
+	switch fault {
+	case ResetCloseDelimited:
+		if tc, ok := conn.(*net.TCPConn); ok {
+			_ = tc.SetLinger(0)
+		}
+	case CrashInsideEvent:
+		ep.Close()
+	}
 }
