gateway: cut a stream whose resumption is answered with an error

What callers saw: a stream broke off, the engine at which it was resumed responded with status 500, and the client got the first events with the text of that error after them, as a complete response.

Cause: a response other than 200 on a streaming route is relayed as a plain one, also when the client has the header and the first events of another.

Change: once events have been forwarded, a response that is not a stream counts as a failed attempt. It is retried where the route allows it; otherwise the client's connection is cut.

Evidence: TestStreamResumedAtFailingEngineIsCut.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -46,6 +46,11 @@
 // if the response breaks off within them, the request can still be retried.
 func (fw *forwarder) relayResponse(rs *attempt.Response, me ResponseMeta, pl plan) (nextStep, fleet.Outcome, error) {
 	rq := fw.rq
+	if fw.headerWritten {
+		// The client has the first events of a stream, to which only events may be added.
+		step, _, err := fw.retryOrGiveUp(&StatusError{status: rs.Status})
+		return step, fleet.Neutral, err
+	}
 	head, err := io.ReadAll(io.LimitReader(rs, maxBufferedResponseBytes))
 	success := rs.Status >= 200 && rs.Status < 300
 	if err == nil && ((success && !me.Sealed) || me.ContentEncoded) {
--- a/internal/node/serve_test.go
+++ b/internal/node/serve_test.go
@@ -248,6 +248,22 @@
 	require.Len(t, env.runsOf(requestID), 1)
 }
 
+// Guards against joining the error response of an engine to the events that another one has sent.
+func TestStreamResumedAtFailingEngineIsCut(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t, 2, 0)
+	env.writeConfiguration()
+	no := env.startReadyHost("host-1")
+	for _, ep := range env.engines {
+		ep.InjectFaults(site.FailResumedStream)
+	}
+	requestID := env.requestID()
+	re := env.send(no, http.MethodPost, "/query/1", requestID, "", promptHeaders())
+	require.Len(t, env.runsOf(requestID), 2)
+	require.False(t, re.complete, "a truncated response must not look complete")
+	require.Equal(t, wholeStream(requestID)[:eventsLength(requestID, 2)], re.body)
+}
+
 func TestClientDisconnectCancelsRun(t *testing.T) {
 	t.Parallel()
 	env := newTestEnv(t, 1, 0)
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -130,6 +130,9 @@
 	EndChunksInsideEvent
 	// CrashInsideEvent stops the endpoint as EndInsideEvent ends the stream.
 	CrashInsideEvent
+	// FailResumedStream responds with status 500 to a request that resumes a stream, and acts as
+	// TruncateResponse on another.
+	FailResumedStream
 )
 
 // eventsBeforeFault is the number of events before a fault that breaks off a stream.
@@ -280,6 +283,13 @@
 	}
 	ep.recordRequest(rq, string(body))
 	hd.Set("X-Response-Seal", responseSeal)
+	if fault == FailResumedStream {
+		fault = TruncateResponse
+		if rq.Header.Get("Last-Event-Id") != "" {
+			http.Error(w, "failed", http.StatusInternalServerError)
+			return
+		}
+	}
 	switch fault {
 	case CrashOnRequest:
 		ep.Close()
@@ -301,7 +311,7 @@
 	case WrongResponseFirst, ExtraResponse, CloseDelimited, ResetCloseDelimited, EndInsideEvent, CrashInsideEvent:
 		ep.writeRaw(w, rq, fault)
 		return
-	case NoEndpointFault, ShedLoad, TruncateResponse, RespondBeforeBody, EndChunksInsideEvent:
+	case NoEndpointFault, ShedLoad, TruncateResponse, RespondBeforeBody, EndChunksInsideEvent, FailResumedStream:
 	}
 	if ep.opts.EventCount > 0 {
 		ep.writeStream(w, rq, fault)
