engine, service: test answers that end with their connection

The clients of engines and plain services read answers without length as well. The tests cover an orderly end and a reset of such answers, inside an event, between events and before the end mark, and answers shorter than announced. Only a whole one counts as complete.

--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -1,8 +1,11 @@
 package engine_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -62,3 +65,58 @@
 	var be *connection.BrokenError
 	require.ErrorAs(t, err, &be)
 }
+
+func TestUndelimitedAnswerIsCompleteOnlyWithItsEndMark(t *testing.T) {
+	const (
+		header = "HTTP/1.1 200 OK\r\n" + engine.HeaderVersion + ": v1\r\n\r\n"
+		token  = "data: {\"id\":\"r\",\"seq\":0,\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+		finish = "data: {\"id\":\"r\",\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+		done   = "data: [DONE]\n\n"
+	)
+	for name, tc := range map[string]struct {
+		answer  string
+		isReset bool
+		isWhole bool
+	}{
+		"whole":                          {token + finish + done, false, true},
+		"without events":                 {"", false, false},
+		"ends within an event":           {token + token[:len(token)/2], false, false},
+		"ends within the end mark":       {token + finish + "data: [DO", false, false},
+		"ends between events":            {token, false, false},
+		"ends before the end mark":       {token + finish, false, false},
+		"reset within an event":          {token + token[:len(token)/2], true, false},
+		"reset between events":           {token, true, false},
+		"reset before the first event":   {"", true, false},
+		"reset before the end mark":      {token + finish, true, false},
+		"ends after a part of its field": {token + "data: ", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = ln.Close() }()
+			go func() {
+				nc, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = nc.Close() }()
+				rq, err := http.ReadRequest(bufio.NewReader(nc))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, rq.Body)
+				_, _ = io.WriteString(nc, header+tc.answer)
+				if tcp, ok := nc.(*net.TCPConn); ok && tc.isReset {
+					_ = tcp.SetLinger(0)
+				}
+			}()
+			_, err = countTokens(t, ln.Addr().String())
+			if tc.isWhole {
+				require.ErrorIs(t, err, io.EOF)
+				return
+			}
+			var be *connection.BrokenError
+			require.ErrorAs(t, err, &be)
+		})
+	}
+}
--- /dev/null
+++ b/internal/service/service_test.go
@@ -0,0 +1,71 @@
+package service_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/connection"
+	"github.com/bergamotway/bergamotway/internal/service"
+)
+
+// respondOnce starts a service that sends response to one request and closes the connection, with a reset if
+// isReset is set.
+func respondOnce(t *testing.T, response string, isReset bool) (address string) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		rq, err := http.ReadRequest(bufio.NewReader(nc))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, rq.Body)
+		_, _ = io.WriteString(nc, response)
+		if tcp, ok := nc.(*net.TCPConn); ok && isReset {
+			_ = tcp.SetLinger(0)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func TestPartialResponseIsBroken(t *testing.T) {
+	for name, tc := range map[string]struct {
+		response string
+		isReset  bool
+		body     string
+		isWhole  bool
+	}{
+		"without length":            {"HTTP/1.1 200 OK\r\n\r\nthe body", false, "the body", true},
+		"without length or body":    {"HTTP/1.1 200 OK\r\n\r\n", false, "", true},
+		"without length, reset":     {"HTTP/1.1 200 OK\r\n\r\nthe body", true, "", false},
+		"without body, reset":       {"HTTP/1.1 200 OK\r\n\r\n", true, "", false},
+		"shorter than announced":    {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nthe body", false, "", false},
+		"shorter and reset":         {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nthe body", true, "", false},
+		"without the last chunk":    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nthe body\r\n", false, "", false},
+		"reset after the last byte": {"HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nthe body", true, "the body", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := respondOnce(t, tc.response, tc.isReset)
+			client := service.NewClient(connection.NewDialer(connection.Options{}))
+			rsp, err := client.Do(context.Background(), address, service.Request{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+			if tc.isWhole {
+				require.NoError(t, err)
+				require.Equal(t, tc.body, string(rsp.Body))
+				return
+			}
+			var be *connection.BrokenError
+			require.ErrorAs(t, err, &be)
+		})
+	}
+}
