--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -34,7 +34,9 @@
 		plainEndpoints []*site.Endpoint
 		cacheStore     *site.Endpoint
 		configVersion  int
-		lastID         atomic.Int64
+		// bounds are the bounds of the hosts that are started.
+		bounds node.Bounds
+		lastID atomic.Int64
 	}
 
 	// response is a response as the client received it.
@@ -51,7 +53,9 @@
 	st, err := site.NewStore()
 	require.NoError(t, err)
 	t.Cleanup(st.Close)
-	env := &testEnv{t: t, store: st, configVersion: 1}
+	env := &testEnv{t: t, store: st, configVersion: 1, bounds: node.Bounds{
+		StopMs: 6000, ApplyMs: 2000, LeaseMs: 1200, WeightsMs: 15000, RepeatRatio: 0.2, RepeatWindowS: 10, RepeatSlack: 50,
+	}}
 	for i := range engines {
 		env.engines = append(env.engines, env.startEndpoint(site.EndpointOptions{
 			ID: fmt.Sprintf("engine-%d", i), Service: "engines", Zone: "here", Model: modelName, EventCount: 8, EventInterval: 2 * time.Millisecond,
@@ -102,10 +106,7 @@
 	engines := platform.NewEngineClient()
 	no, err := node.New(node.Settings{
 		Name: name, Zone: "here", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
-		Store: env.store.Address(),
-		Bounds: node.Bounds{
-			StopMs: 6000, ApplyMs: 2000, LeaseMs: 1200, WeightsMs: 15000, RepeatRatio: 0.2, RepeatWindowS: 10, RepeatSlack: 50,
-		},
+		Store: env.store.Address(), Bounds: env.bounds,
 	}, node.Dependencies{
 		Store: platform.NewMetadataStore(env.store.Address(), nil), Decoder: platform.Decoder{}, Codec: platform.Codec{},
 		Caches: engines, Engines: engines, Meter: meter,
--- a/internal/node/state_test.go
+++ b/internal/node/state_test.go
@@ -188,6 +188,31 @@
 	require.Less(t, env.store.GrantedLeases()-before, hosts+hosts/2)
 }
 
+func TestRequestThatWaitsAtAnEngineDoesNotBeginOnExpiredWeights(t *testing.T) {
+	t.Parallel()
+	for _, uri := range []string{"/note/1", "/query/1"} {
+		t.Run(uri, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t, 2, 0)
+			env.bounds.LeaseMs, env.bounds.WeightsMs = 60000, 1500
+			env.writeConfiguration()
+			require.NoError(t, env.store.SetWeightVersion(2))
+			no := env.startReadyHost("host-1")
+			for _, ep := range env.engines {
+				ep.InjectFaults(site.NeverRespond, site.NeverRespond)
+			}
+			requestID := env.requestID()
+			re := env.send(no, http.MethodPost, uri, requestID, "", promptHeaders())
+			require.Equal(t, http.StatusBadGateway, re.status)
+			runs := env.runsOf(requestID)
+			require.NotEmpty(t, runs)
+			require.Eventually(t, func() bool {
+				return env.engines[0].AbandonedCount()+env.engines[1].AbandonedCount() == len(runs)
+			}, waitTimeout, pollInterval)
+		})
+	}
+}
+
 func TestCachePartsOfOlderWeightsAreFreed(t *testing.T) {
 	t.Parallel()
 	env := newTestEnv(t, 1, 0)
