gateway: cancel a request that still waits when its engine's weights expire

What callers saw: answers that had begun on weights after these had expired, on engines that other requests had crowded.

Cause: the age of the weights is checked when a request is sent, with a margin of 7 % of the bound for the wait at the engine.

Change: a request to an engine with outdated weights is cancelled 0.1 s before they may no longer be used, unless its first event has arrived; it goes on at another engine where the route allows that. An engine whose expected wait, doubled, does not fit into the time that is left is not chosen.

--- a/internal/fleet/in_flight.go
+++ b/internal/fleet/in_flight.go
@@ -29,6 +29,13 @@
 	fi.markPrefilledLocked()
 }
 
+// IsPrefilled reports whether the endpoint has finished the prefill of the request.
+func (fi *InFlight) IsPrefilled() bool {
+	fi.fl.mu.Lock()
+	defer fi.fl.mu.Unlock()
+	return fi.prefilled
+}
+
 // markPrefilledLocked is MarkPrefilled for callers that hold the fleet's lock.
 func (fi *InFlight) markPrefilledLocked() {
 	if !fi.prefilled {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -152,6 +152,11 @@
 	pl.delivery.Remaining = rq.deadline.Sub(gw.opts.Clock.Now())
 	pl.delivery.LastEventID = fw.lastEventID
 	target := attempt.Target{ID: pl.view.ID, Address: pl.view.Address, StartTimeMs: pl.view.StartTimeMs}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if left, ok := gw.opts.WeightsTimeLeft(rq.Model, pl.delivery.WeightVersion); ok && pl.delivery.WeightVersion > 0 {
+		fw.limitWait(ctx, cancel, fi, left)
+	}
 	head := gw.opts.Codec.EncodeRequestHeader(rq, pl.delivery)
 	rs, err := gw.opts.Pool.Send(ctx, target, fw.connectionLimit(), rq.Method, head, rq.Body)
 	if err == nil {
@@ -233,6 +238,20 @@
 	return step, nil
 }
 
+// limitWait cancels an attempt if its first event has not arrived within a duration.
+func (fw *forwarder) limitWait(ctx context.Context, cancel context.CancelFunc, fi *fleet.InFlight, d time.Duration) {
+	timer := fw.gw.opts.Clock.After(max(0, d))
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-timer:
+			if !fi.IsPrefilled() {
+				cancel()
+			}
+		}
+	}()
+}
+
 // canRetry reports whether the request may run again at another endpoint.
 func (fw *forwarder) canRetry() bool {
 	return fw.rq.route.IsRepeatable() && fw.sent < fw.rq.route.MaxAttempts &&
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,9 @@
 		TargetVersion func(model string) uint64
 		// IsVersionExpired reports whether a weight version of a model may no longer be used.
 		IsVersionExpired func(model string, version uint64) bool
+		// WeightsTimeLeft returns for how long a request may still begin on a weight version of a model; ok is
+		// false if that is not limited.
+		WeightsTimeLeft func(model string, version uint64) (d time.Duration, ok bool)
 	}
 
 	// Gateway is the HTTP handler for clients. It is safe for concurrent use.
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -145,6 +145,9 @@
 		ca.CapacityTokens = en.CapacityTokens
 		version, _ := ca.Version(rq.Model)
 		ca.Expired = fw.gw.opts.IsVersionExpired(rq.Model, version)
+		if left, ok := fw.gw.opts.WeightsTimeLeft(rq.Model, version); ok {
+			ca.TimeLeft = max(left, time.Nanosecond)
+		}
 		if _, ok := locationsByVersion[version]; !ok {
 			salt := fw.cacheSalt(version)
 			locations := make([][]cachedir.Location, len(rq.PromptParts))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,9 @@
 	// leaderDelayPerRank is how long a host waits, per host that ranks before it, before it tries to become
 	// leader.
 	leaderDelayPerRank = 120 * time.Millisecond
+	// weightsCancelMargin is how long before older weights may no longer be used requests that still wait at
+	// their engines are cancelled. It covers the time until the engine learns of it.
+	weightsCancelMargin = 100 * time.Millisecond
 	// recordDelayPerRank is the delay per rank before a host records a target version.
 	recordDelayPerRank = 300 * time.Millisecond
 )
@@ -177,6 +180,7 @@
 		Log:             lg.WithField("part", "gateway"), Meter: deps.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		HostCount:     func() int { return int(no.hostCount.Load()) },
 		TargetVersion: no.storeState.targets.Target, IsVersionExpired: no.storeState.targets.IsExpired,
+		WeightsTimeLeft: no.weightsTimeLeft,
 	})
 	if err := no.listen(); err != nil {
 		return nil, err
@@ -346,6 +350,13 @@
 	return time.Duration(float64(no.settings().Bounds.WeightsMs) * staleWeightsShare * float64(time.Millisecond))
 }
 
+// weightsTimeLeft returns for how long a request may still begin on a version; ok is false if the version is not
+// outdated.
+func (no *Node) weightsTimeLeft(model string, version uint64) (d time.Duration, ok bool) {
+	age, ok := no.storeState.targets.OutdatedFor(model, version)
+	return time.Duration(no.settings().Bounds.WeightsMs)*time.Millisecond - weightsCancelMargin - age, ok
+}
+
 func (no *Node) logLeadership(held bool, token uint64) {
 	no.log.WithFields(logrus.Fields{"held": held, "fence": token}).Info("Duty of weights changed hands.")
 }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -52,6 +52,8 @@
 	// overdueTargetShare is the share of the target above which an expected wait is too long. Waits are
 	// underestimated about as often as overestimated.
 	overdueTargetShare = 1.0
+	// waitUncertainty is how many times an expected wait may be exceeded where a late start is not allowed.
+	waitUncertainty = 2.0
 	// minRetryAfter is the shortest time after which a refused client may retry, and maxRetryAfterShare
 	// the largest share of the client's remaining time.
 	minRetryAfter      = 300 * time.Millisecond
@@ -92,6 +94,8 @@
 		FetchTime time.Duration
 		// Expired marks an engine whose weights may no longer be used.
 		Expired bool
+		// TimeLeft is how long requests may still begin on the engine's weights; zero means without a limit.
+		TimeLeft time.Duration
 	}
 
 	// Choice is the result of a placement decision.
@@ -116,6 +120,9 @@
 		}
 		version, _ := ca.Version(job.Model)
 		cost, wait := job.cost(ca, version)
+		if left := float64(ca.TimeLeft) / float64(time.Millisecond); left > 0 && wait*waitUncertainty > left {
+			continue
+		}
 		cost += tieBreakMs * float64(rendezvous.Score(seed, rendezvous.Hash(ca.ID))>>40) / (1 << 24)
 		rank := 0
 		if ca.Loading {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -34,6 +34,16 @@
 	require.False(t, ok)
 }
 
+func TestCrowdedEngineWhoseWeightsExpireSoonIsNotChosen(t *testing.T) {
+	crowded := engine("old", 1, fleet.Load{Requests: 40, PrefillTokens: 56000})
+	crowded.TimeLeft = 900 * time.Millisecond
+	_, ok := placement.Choose(job(), []placement.Candidate{crowded})
+	require.False(t, ok, "the expected wait is over half a second")
+	crowded.TimeLeft = 3 * time.Second
+	_, ok = placement.Choose(job(), []placement.Candidate{crowded})
+	require.True(t, ok)
+}
+
 func TestResumedStreamRequiresSameWeights(t *testing.T) {
 	jb := job()
 	jb.VersionRequired, jb.Version = true, 1
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -257,19 +257,25 @@
 // IsExpired reports whether a weight version may no longer be used, because a newer one has been the target for
 // longer than the maximum age.
 func (ta *Targets) IsExpired(name string, version uint64) bool {
+	age, ok := ta.OutdatedFor(name, version)
+	return ok && age > ta.opts.MaxAge()
+}
+
+// OutdatedFor returns for how long a newer version has been the target; ok is false if there is none.
+func (ta *Targets) OutdatedFor(name string, version uint64) (age time.Duration, ok bool) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	mo := ta.models[name]
 	if mo == nil || version >= mo.newest {
-		return false
+		return 0, false
 	}
 	now := ta.opts.SinceBoot()
 	for newer, since := range mo.since {
-		if newer > version && now-since > ta.opts.MaxAge() {
-			return true
+		if newer > version {
+			age, ok = max(age, now-since), true
 		}
 	}
-	return false
+	return age, ok
 }
 
 // Run writes records of versions that are not recorded yet, and checkpoints, until ctx ends.
