gateway: break off the response to a client that has closed its sending side

What callers saw: a client that closed its sending side after the request and went on reading got a 200 with no body and no seal while its request was still running, and in the middle of a stream the events so far as a complete one.

Cause: the end of the client's sending side cancels its request. The handler then returned, and the HTTP server completed the response: an empty 200, or the last chunk of a stream.

Change: a request whose client has left ends by breaking its connection off, as other requests that end without a complete response; so does one whose response cannot be written. HTTP/1.0 clients get a reset.

Evidence: TestHalfClosedClientGetsNoPartialResponse. TestRequestOfDisconnectedClientIsNotForwarded calls the handler without a server. It now recovers from http.ErrAbortHandler, as a server does, and from nothing else; what it checks is the same.

--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -84,6 +84,8 @@
 func TestRequestOfDisconnectedClientIsNotForwarded(t *testing.T) {
 	gw, ep := newGateway(t, 0)
 	serve := func(server net.Conn) {
+		// A server recovers from this panic and closes the connection.
+		defer func() { require.Contains(t, []any{nil, http.ErrAbortHandler}, recover()) }()
 		hr := httptest.NewRequest(http.MethodPost, "/", nil)
 		hr.Host = "shop.example"
 		hr.Header.Set("X-Request-Id", "id")
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -81,6 +81,8 @@
 	stepDone nextStep = iota
 	stepRetry
 	stepGiveUp
+	// stepBreakOff follows a response that could not be written to the client.
+	stepBreakOff
 )
 
 // run attempts the request at one endpoint after another until it has a response or may not be attempted
@@ -95,8 +97,7 @@
 	for {
 		remaining := rq.deadline.Sub(gw.opts.Clock.Now())
 		if clientDisconnected(clientCtx) {
-			fw.recordEnd("client-left", 0, clientCtx.Err())
-			return
+			fw.abort("client-left", 0, clientCtx.Err())
 		}
 		if remaining < minAttemptTime {
 			fw.expire(lastErr)
@@ -120,6 +121,8 @@
 		switch step {
 		case stepDone:
 			return
+		case stepBreakOff:
+			fw.breakOff()
 		case stepGiveUp:
 			fw.fail(clientCtx, lastErr)
 			return
@@ -222,7 +225,7 @@
 		step, oc, err = fw.relayResponse(rs, me, pl)
 	}
 	fi.End(fw.healthOutcome(ctx, clientCtx, oc), coldFor)
-	if step != stepDone {
+	if step == stepRetry || step == stepGiveUp {
 		fw.recordCrash(ctx, target, pl.sentAt, err)
 		fw.recordFailedAttempt(pl, "broken", err)
 		return step, err
@@ -274,7 +277,7 @@
 // expire ends a request whose deadline has passed or is too close for another attempt.
 func (fw *forwarder) expire(cause error) {
 	if fw.headerWritten {
-		fw.abort("expired", cause)
+		fw.abort("expired", http.StatusOK, cause)
 	}
 	if fw.mayHaveRun {
 		fw.gw.refuse(fw.w, fw.rq, http.StatusGatewayTimeout, "expired", 0, cause)
@@ -287,9 +290,9 @@
 func (fw *forwarder) fail(clientCtx context.Context, cause error) {
 	switch {
 	case clientCtx.Err() != nil:
-		fw.recordEnd("client-left", 0, cause)
+		fw.abort("client-left", 0, cause)
 	case fw.headerWritten:
-		fw.abort("broken", cause)
+		fw.abort("broken", http.StatusOK, cause)
 	case !fw.gw.opts.Clock.Now().Before(fw.rq.deadline):
 		fw.expire(cause)
 	case fw.mayHaveRun:
@@ -304,7 +307,7 @@
 func (fw *forwarder) refuse(reason string, cause error) {
 	switch {
 	case fw.headerWritten:
-		fw.abort(reason, cause)
+		fw.abort(reason, http.StatusOK, cause)
 	case fw.mayHaveRun:
 		fw.gw.refuse(fw.w, fw.rq, http.StatusBadGateway, "outcome-unknown", 0, cause)
 	default:
@@ -330,10 +333,15 @@
 	fw.gw.recordEnd(fw.rq, "overloaded", http.StatusServiceUnavailable, cause, fields)
 }
 
-// abort breaks the connection of a response that has begun, so that the client cannot take it for
-// complete.
-func (fw *forwarder) abort(reason string, cause error) {
-	fw.recordEnd(reason, http.StatusOK, cause)
+// abort ends the request without a complete response.
+func (fw *forwarder) abort(reason string, status int, cause error) {
+	fw.recordEnd(reason, status, cause)
+	fw.breakOff()
+}
+
+// breakOff breaks the connection to the client, so that the client cannot take the response for complete. A
+// client may have closed only its sending side, and still reads.
+func (fw *forwarder) breakOff() {
 	if fw.resetOnAbort {
 		fw.resetClient()
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -77,7 +77,7 @@
 	if rq.Method != http.MethodHead {
 		if _, err := fw.w.Write(head); err != nil {
 			fw.recordEnd("client-left", rs.Status, err)
-			return stepDone, outcome, nil
+			return stepBreakOff, outcome, nil
 		}
 	}
 	fw.recordEndWithPlan("answered", rs.Status, nil, pl)
@@ -95,7 +95,7 @@
 	fw.w.WriteHeader(rs.Status)
 	if _, err := fw.w.Write(head); err != nil {
 		fw.recordEnd("client-left", rs.Status, err)
-		return stepDone, outcome, nil
+		return stepBreakOff, outcome, nil
 	}
 	// The response must end before the limit, so one byte more is an error.
 	limited := &io.LimitedReader{R: rs, N: maxResponseBytes + 1 - int64(len(head))}
@@ -106,7 +106,7 @@
 		return stepGiveUp, fleet.Failed, err
 	case err != nil:
 		fw.recordEnd("client-left", rs.Status, err)
-		return stepDone, outcome, nil
+		return stepBreakOff, outcome, nil
 	case limited.N <= 0:
 		return stepGiveUp, fleet.Failed, errResponseSize
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -67,11 +67,11 @@
 		_ = rc.SetWriteDeadline(fw.gw.opts.Clock.Now().Add(eventWriteTimeout))
 		if _, err := fw.w.Write(event); err != nil {
 			fw.recordEnd("client-left", rs.Status, err)
-			return stepDone, fleet.Neutral, nil
+			return stepBreakOff, fleet.Neutral, nil
 		}
 		if err := rc.Flush(); err != nil {
 			fw.recordEnd("client-left", rs.Status, err)
-			return stepDone, fleet.Neutral, nil
+			return stepBreakOff, fleet.Neutral, nil
 		}
 		fw.events++
 		if hasID {
--- a/internal/gateway/undelimited_test.go
+++ b/internal/gateway/undelimited_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/gateway"
 )
 
 const (
@@ -235,3 +237,52 @@
 	_, err = rsp.Body.Read(make([]byte, 1))
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// Guards against completing a response because the client has closed its sending side.
+func TestHalfClosedClientGetsNoPartialResponse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		path  string
+		parts []string
+		// received is the part of the body that the client awaits before it closes its sending side.
+		received string
+	}{
+		"before the response": {"/pay", []string{"", undelimitedHeader + "the body"}, ""},
+		"before a stream":     {"/stream/", []string{"", undelimitedHeader + firstEvents}, ""},
+		"within a stream":     {"/stream/", []string{undelimitedHeader + firstEvents, "id: 3\ndata: four\n\n"}, firstEvents},
+	} {
+		for _, version := range []string{"1.1", "1.0"} {
+			t.Run(name+", HTTP "+version, func(t *testing.T) {
+				se := &scriptedEndpoint{parts: tc.parts, proceed: make(chan struct{})}
+				startScriptedEndpoint(t, se)
+				sv := httptest.NewUnstartedServer(newGatewayTo(t, 0, se.listener.Addr().String()))
+				sv.Config.ConnContext = gateway.WithClientConn
+				sv.Start()
+				t.Cleanup(sv.Close)
+				t.Cleanup(func() { close(se.proceed) })
+				cn, br := dialClient(t, sv.Listener.Addr().String())
+				halfClose := func() {
+					tcp, ok := cn.(*net.TCPConn)
+					require.True(t, ok)
+					require.NoError(t, tcp.CloseWrite())
+				}
+				_, err := fmt.Fprintf(cn, "POST %s HTTP/%s\r\nHost: shop.example\r\nX-Request-Id: id\r\nX-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n", tc.path, version)
+				require.NoError(t, err)
+				if tc.received == "" {
+					require.Eventually(t, func() bool { return se.opened.Load() == 1 }, 5*time.Second, time.Millisecond)
+					halfClose()
+					data, _ := io.ReadAll(br)
+					require.Empty(t, string(data), "the client got a response that the endpoint did not send")
+					return
+				}
+				rsp, err := http.ReadResponse(br, nil)
+				require.NoError(t, err)
+				defer func() { _ = rsp.Body.Close() }()
+				_, err = io.ReadFull(rsp.Body, make([]byte, len(tc.received)))
+				require.NoError(t, err)
+				halfClose()
+				_, err = io.ReadAll(rsp.Body)
+				require.Error(t, err, "a partial response must not look complete")
+			})
+		}
+	}
+}
