gateway: report a crash under a stream that ends within an event

What callers saw: a request that crashes engines went on reaching them. After two crashes it must be refused, but the next one like it was answered 200.

Cause: a stream without length, whose engine dies, ends like a complete one, except that it ends within an event. The gateway noticed this and resumed or cut the stream, but its error was not one of a broken exchange, and only those are checked for a crash.

Change: the end within an event is a broken exchange, as is one within a chunk or before the announced length.

Evidence: TestCrashInsideEventOfUndelimitedStreamIsReported.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -195,15 +195,21 @@
 	n, err := rs.rsp.Body.Read(p)
 	switch {
 	case errors.Is(err, io.EOF) && !rs.hasDelimitedBody() && isReset(rs.conn.Conn):
-		err = &BrokenError{target: rs.target, cause: syscall.ECONNRESET}
+		err = rs.BrokenError(syscall.ECONNRESET)
 	case errors.Is(err, io.EOF):
 		rs.bodyRead = true
 	case err != nil:
-		err = &BrokenError{target: rs.target, cause: err}
+		err = rs.BrokenError(err)
 	}
 	return n, err
 }
 
+// BrokenError returns the error for a body that ended early although it is complete by its framing, which only the
+// caller can tell.
+func (rs *Response) BrokenError(cause error) *BrokenError {
+	return &BrokenError{target: rs.target, cause: cause}
+}
+
 // BodyLength returns the announced length of the body in bytes, or -1 if the response announces none.
 func (rs *Response) BodyLength() int64 { return rs.rsp.ContentLength }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,7 @@
 	eventIDField  = []byte("id:")
 	errEventOrder = forwardError("the event ID does not follow the last one of the stream")
 	errEventSize  = forwardError("the event exceeds the size limit")
+	errEventEnd   = forwardError("the stream ended within an event")
 )
 
 // relayStream forwards the events of a response as they arrive. It forwards only whole events, so that a
@@ -44,6 +45,8 @@
 			fw.writeHeader(rs)
 			fw.recordStreamEnd(pl)
 			return stepDone, fleet.Succeeded, nil
+		case errors.Is(err, errEventEnd):
+			return fw.retryOrGiveUp(rs.BrokenError(err))
 		case err != nil:
 			return fw.retryOrGiveUp(err)
 		}
@@ -120,7 +123,7 @@
 }
 
 // readEvent reads an event up to and including the empty line that ends it. It returns io.EOF without
-// data at the end of the stream, and io.ErrUnexpectedEOF if the stream ends within an event.
+// data at the end of the stream, and errEventEnd if the stream ends within an event.
 func readEvent(br *bufio.Reader) ([]byte, error) {
 	var event []byte
 	lineStart := 0
@@ -133,7 +136,7 @@
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
 		case errors.Is(err, io.EOF) && len(event) > 0:
-			return nil, io.ErrUnexpectedEOF
+			return nil, errEventEnd
 		case err != nil:
 			return nil, err
 		case len(bytes.TrimRight(event[lineStart:], "\r\n")) == 0:
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+// Guards against missing a crash under a stream without length, which ends like a complete one but inside an event.
+func TestCrashInsideEventOfUndelimitedStreamIsReported(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t, 4, 0)
+	env.writeConfiguration()
+	no := env.startReadyHost("host-1")
+	for _, ep := range env.engines {
+		ep.InjectFaults(site.CrashInsideEvent)
+	}
+	requestID := env.requestID()
+	re := env.send(no, http.MethodPost, "/query/1", requestID, "poison", promptHeaders())
+	require.False(t, re.complete)
+	require.Len(t, env.runsOf(requestID), 2)
+	env.repairEndpoints()
+	requestID = env.requestID()
+	re = env.send(no, http.MethodPost, "/query/1", requestID, "poison", promptHeaders())
+	require.Equal(t, http.StatusServiceUnavailable, re.status)
+	require.Empty(t, env.runsOf(requestID))
+	re = env.send(no, http.MethodPost, "/query/1", env.requestID(), "harmless", promptHeaders())
+	require.Equal(t, http.StatusOK, re.status)
+}
+
 // Guards against quarantining a request for crashes that it did not cause: two endpoints crash while
 // they run it, but others answer equal requests.
 func TestUnrelatedCrashesDoNotQuarantineRequest(t *testing.T) {
