entry: test that an answer that breaks off does not look complete

A streamed answer that breaks off ends with an error event and without finish reason and end mark; one that isn't streamed is refused.

--- a/internal/entry/server_test.go
+++ b/internal/entry/server_test.go
@@ -44,6 +44,8 @@
 		openCalls     atomic.Int64
 		tokenInterval time.Duration
 		tokenCount    int
+		// brokenAfter is the number of tokens after which an answer breaks off; zero means never.
+		brokenAfter int
 	}
 
 	// fakeStream returns tokenCount tokens at a fixed interval.
@@ -102,6 +104,8 @@
 	}
 	fs.next++
 	switch {
+	case fs.fx.brokenAfter > 0 && fs.next > fs.fx.brokenAfter:
+		return engine.Token{}, connection.NewBrokenError("engine", false, io.ErrUnexpectedEOF)
 	case fs.next <= fs.fx.tokenCount:
 		return engine.Token{Text: "word ", Sequence: fs.next - 1}, nil
 	case fs.next == fs.fx.tokenCount+1:
@@ -259,6 +263,26 @@
 	require.Eventually(t, func() bool { return fx.cancelCalls.Load() == 1 }, 30*time.Second, 10*time.Millisecond)
 }
 
+func TestBrokenAnswerDoesNotLookComplete(t *testing.T) {
+	fx := newFixture(t)
+	fx.brokenAfter = 2
+	for _, stream := range []bool{true, false} {
+		body := fmt.Sprintf(`{"model":"crew","stream":%t,"messages":[{"role":"user","content":"hi"}]}`, stream)
+		rq, err := http.NewRequest(http.MethodPost, "http://"+fx.address+"/v1/chat/completions", strings.NewReader(body))
+		require.NoError(t, err)
+		rq.Header.Set("Authorization", "Bearer secret")
+		rsp, err := http.DefaultClient.Do(rq)
+		require.NoError(t, err)
+		data, err := io.ReadAll(rsp.Body)
+		require.NoError(t, rsp.Body.Close())
+		require.NoError(t, err)
+		require.Contains(t, string(data), `"error"`)
+		require.NotContains(t, string(data), "[DONE]")
+		require.NotContains(t, string(data), `"finish_reason":"stop"`)
+		require.Equal(t, stream, rsp.StatusCode == http.StatusOK)
+	}
+}
+
 func (fx *fixture) openStream(t *testing.T) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", fx.address)
