quarantine: track the parts of prompts that crash endpoints

Callers saw their requests broken off on one engine after another: a part of some prompts crashed each engine that began a response to it. The tracker knows a request only by team, URI and whole body, and no two of these requests were alike.

A crash accuses the parts, but the last, of the requests that waited for their first event; a response clears its parts. A crash that also accuses a part with more crashes is explained by that one. Crashes within 300 ms count as one incident, so that a zone that loses power blocks nothing. From two incidents a host sends one request with the part at a time; after three, or two with five crashes, and a response to another request of the service since the first, the part is blocked for 30 s, four times as long after each trial that crashes an engine, up to an hour. Trials are made by one host of the fleet.

--- /dev/null
+++ b/internal/quarantine/part.go
@@ -0,0 +1,206 @@
+package quarantine
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bergamotway/bergamotway/internal/rendezvous"
+)
+
+const (
+	// maxPartIDBytes bounds the identifier of a part; a hash replaces longer ones.
+	maxPartIDBytes = 32
+	// maxReporters bounds the hosts that a verdict names.
+	maxReporters = 4
+
+	// suspicionIncidents is the number of incidents from which a host sends only one request with the part at a time.
+	suspicionIncidents = 2
+	// simultaneousPeriod is the period within which crashes count as one incident. It covers the different delays
+	// of reports: a zone that loses power ends many endpoints at once.
+	simultaneousPeriod = 300 * time.Millisecond
+	// settlePeriod is how old a crash must be to count towards a block. By then a response at any host has cleared
+	// the part here.
+	settlePeriod = 300 * time.Millisecond
+	// blockIncidents is the number of incidents after which a part is blocked. With blockCrashes crashes,
+	// blockIncidentsOfMany are enough.
+	blockIncidents       = 3
+	blockIncidentsOfMany = 2
+	blockCrashes         = 5
+
+	// firstBlock is how long a part is blocked at first. Each trial that crashes an endpoint multiplies it by
+	// blockGrowth, up to maxBlock.
+	firstBlock  = 30 * time.Second
+	blockGrowth = 4
+	maxBlock    = time.Hour
+	maxStrikes  = 5
+	// verdictRetention is how long a verdict remains after its block has ended without a trial.
+	verdictRetention = time.Hour
+	// trialSlot is the period for which a host is selected to try a part; trials start in the first half of it, so
+	// that the next host knows the result.
+	trialSlot = 10 * time.Second
+	// maxVerdictSkew bounds the difference between the times at which two hosts place a crash.
+	maxVerdictSkew = 2 * time.Second
+)
+
+type (
+	// Verdict states that a part of prompts is blocked, because endpoints that began a response to it crashed.
+	Verdict struct {
+		// Part identifies the part.
+		Part string
+		// Crashes is the number of crashes that the part explains.
+		Crashes int
+		// Strikes is one more than the number of trials that crashed an endpoint.
+		Strikes int
+		// LastCrash is when the last crash was detected.
+		LastCrash time.Time
+		// Reporters names up to four hosts that detected crashes.
+		Reporters []string
+	}
+
+	// PartCrash reports the parts of the requests that waited for their first event at an endpoint when it crashed.
+	PartCrash struct {
+		// ID identifies the crash.
+		ID string
+		// Reporter is the host that detected the crash.
+		Reporter string
+		// Scope is the service of the endpoint.
+		Scope string
+		// DetectedAt is when the reporter detected the crash.
+		DetectedAt time.Time
+		// Parts identifies the parts.
+		Parts []string
+	}
+
+	// BlockedError reports a request that must not be sent because of one of its parts.
+	BlockedError struct {
+		part      string
+		crashes   int
+		age       time.Duration
+		reporters []string
+		isTrial   bool
+	}
+
+	// partCrash merges the reports of a crash.
+	partCrash struct {
+		id, scope  string
+		detectedAt time.Time
+		parts      map[string]bool
+		reporters  map[string]bool
+		// ownParts holds the parts that this host reports.
+		ownParts map[string]bool
+	}
+
+	// partSuspect holds what is known about a part that was running during crashes.
+	partSuspect struct {
+		// crashes holds the crashes since the last success, by ID.
+		crashes map[string]*partCrash
+		// verdict is nil while the part is not blocked.
+		verdict *Verdict
+		// trying is set while this host tries the part.
+		trying bool
+		// triedSlot is one more than the last slot in which this host tried the blocked part.
+		triedSlot int64
+		// clearedAt is when a response showed last that the part is sound, announcedAt when this host told the others.
+		clearedAt, announcedAt time.Time
+	}
+)
+
+// Error returns a message with the part and the reports about it.
+func (e *BlockedError) Error() string {
+	text := fmt.Sprintf("quarantine: part %s was running during %d crashes, the last %d ms ago (reported by %s)",
+		e.part, e.crashes, e.age.Milliseconds(), strings.Join(e.reporters, " "))
+	if e.isTrial {
+		return text + "; another request tries it"
+	}
+	return text
+}
+
+// Part returns the identifier of the part.
+func (e *BlockedError) Part() string { return e.part }
+
+// Crashes returns the number of crashes.
+func (e *BlockedError) Crashes() int { return e.crashes }
+
+// Age returns the time since the last crash.
+func (e *BlockedError) Age() time.Duration { return e.age }
+
+// Reporters returns up to four hosts that detected the crashes.
+func (e *BlockedError) Reporters() []string { return e.reporters }
+
+// IsTransient reports that the request was refused only because another one is trying the part at this host.
+func (e *BlockedError) IsTransient() bool { return e.isTrial }
+
+// BlockedUntil returns when the part may be tried again.
+func (ve Verdict) BlockedUntil() time.Time { return ve.LastCrash.Add(blockDuration(ve.Strikes)) }
+
+func blockDuration(strikes int) time.Duration {
+	d := firstBlock
+	for i := 1; i < strikes && d < maxBlock; i++ {
+		d *= blockGrowth
+	}
+	return min(d, maxBlock)
+}
+
+// compareVerdicts orders verdicts by strength, the strongest first.
+func compareVerdicts(a, b Verdict) int {
+	return cmp.Or(cmp.Compare(b.Strikes, a.Strikes), cmp.Compare(b.Crashes, a.Crashes), b.LastCrash.Compare(a.LastCrash), cmp.Compare(a.Part, b.Part))
+}
+
+// isTrialTurn reports whether a host may try the part now that its block has ended, and in which slot.
+func (ve Verdict) isTrialTurn(now time.Time, host string, hosts []string) (slot int64, ok bool) {
+	elapsed := now.Sub(ve.BlockedUntil())
+	slot = int64(elapsed / trialSlot)
+	if elapsed%trialSlot > trialSlot/2 {
+		return slot, false
+	}
+	owner, found := rendezvous.Owner(fmt.Sprintf("%s/%d/%d", ve.Part, ve.Strikes, slot), hosts)
+	return slot, !found || owner == host
+}
+
+// rank returns the strength of the evidence against a part.
+func (su *partSuspect) rank() int {
+	switch {
+	case su == nil:
+		return 0
+	case su.verdict != nil:
+		return max(blockCrashes, len(su.crashes)) + maxCrashes
+	default:
+		return len(su.crashes)
+	}
+}
+
+// countIncidents returns the number of crashes, counting those within simultaneousPeriod as one.
+func countIncidents(crashes []*partCrash) int {
+	slices.SortFunc(crashes, func(a, b *partCrash) int { return a.detectedAt.Compare(b.detectedAt) })
+	count := 0
+	var last time.Time
+	for _, cr := range crashes {
+		if count == 0 || cr.detectedAt.Sub(last) >= simultaneousPeriod {
+			count++
+			last = cr.detectedAt
+		}
+	}
+	return count
+}
+
+// reportersOf returns up to maxReporters hosts that detected the crashes.
+func reportersOf(crashes []*partCrash) []string {
+	names := make(map[string]bool)
+	for _, cr := range crashes {
+		maps.Copy(names, cr.reporters)
+	}
+	out := slices.Sorted(maps.Keys(names))
+	return out[:min(len(out), maxReporters)]
+}
+
+// mergeReporters returns the union of two lists of hosts, cut to maxReporters.
+func mergeReporters(a, b []string) []string {
+	out := append(slices.Clone(a), b...)
+	slices.Sort(out)
+	out = slices.Compact(out)
+	return out[:min(len(out), maxReporters)]
+}
