peering: send crashes and verdicts of prompt parts in digests

A part of a prompt that crashes engines has to be known by every host within contactMs. Aggregators keep the newest crashes, up to 1,024 parts, and the 32 strongest verdicts.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -85,6 +85,34 @@
 		RanUs int64 `json:"r"`
 	}
 
+	// PartCrash reports the parts of the prompts that waited for their first event at an endpoint when it crashed;
+	// see package quarantine.
+	PartCrash struct {
+		// CrashID identifies the crash.
+		CrashID string `json:"c"`
+		// Service is the service of the endpoint.
+		Service string `json:"s"`
+		// Reporter is the host that observed the crash.
+		Reporter string `json:"h"`
+		// AgeUs is the time since the crash in microseconds.
+		AgeUs int64 `json:"a"`
+		// Parts identifies the parts.
+		Parts []string `json:"p"`
+	}
+
+	// PartVerdict states that a part of prompts is blocked.
+	PartVerdict struct {
+		// Part identifies the part.
+		Part string `json:"p"`
+		// Crashes is the number of crashes, Strikes one more than that of the trials that crashed an endpoint.
+		Crashes int `json:"n"`
+		Strikes int `json:"k"`
+		// AgeUs is the time since the last crash in microseconds.
+		AgeUs int64 `json:"a"`
+		// Reporters names some hosts that observed a crash.
+		Reporters []string `json:"h,omitempty"`
+	}
+
 	// Digest is the message that a host sends to other hosts.
 	Digest struct {
 		// Tier is the kind of digest.
@@ -124,6 +152,11 @@
 		// of those that have been answered since.
 		Crashes []CrashReport `json:"q,omitempty"`
 		Cleared []string      `json:"f,omitempty"`
+		// PartCrashes lists the parts that were running during recent crashes, ClearedParts the parts that have been
+		// answered since, and PartVerdicts the blocked ones.
+		PartCrashes  []PartCrash   `json:"i,omitempty"`
+		ClearedParts []string      `json:"j,omitempty"`
+		PartVerdicts []PartVerdict `json:"v,omitempty"`
 	}
 
 	// Peer describes a host of the exchange.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -31,10 +31,16 @@
 	mu            sync.Mutex
 	loadsBySender map[string]map[peering.Key]int
 	revisions     map[string]uint64
+	// extra is added to the digests that the host sends, and last is the last one that it received.
+	extra, last peering.Digest
 }
 
 func (ho *host) LocalDigest() peering.Digest {
-	return peering.Digest{Host: ho.name, AppliedRevision: 7, Loads: peering.Loads{{Endpoint: engineKey, Requests: 1}}}
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	dg := ho.extra
+	dg.Host, dg.AppliedRevision, dg.Loads = ho.name, 7, peering.Loads{{Endpoint: engineKey, Requests: 1}}
+	return dg
 }
 
 func (ho *host) DrainZoneState() peering.Digest { return peering.Digest{} }
@@ -42,6 +48,7 @@
 func (ho *host) HandleDigest(dg peering.Digest) {
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
+	ho.last = dg
 	from := "total"
 	if dg.Tier == peering.TierDirect {
 		from = dg.Host
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -39,6 +40,11 @@
 	maxReportAge = 1500 * time.Millisecond
 	// maxMergedCrashes limits the crashes in a merged digest, to about 10 KB.
 	maxMergedCrashes = 128
+	// maxAccusedParts, maxClearedParts and maxMergedVerdicts limit what a merged digest says about parts of prompts,
+	// to about 20 KB.
+	maxAccusedParts   = 1024
+	maxClearedParts   = 256
+	maxMergedVerdicts = 32
 )
 
 // Tier is the kind of a digest: who sends it, who receives it and which hosts it covers.
@@ -125,9 +131,52 @@
 	for fp := range cleared {
 		out.Cleared = append(out.Cleared, fp)
 	}
+	mergePartState(&out, digests)
 	return out
 }
 
+// mergePartState merges the reports about parts of prompts into out.
+func mergePartState(out *Digest, digests []Digest) {
+	type crashKey struct{ crash, reporter string }
+	crashes := make(map[crashKey]PartCrash)
+	verdicts := make(map[string]PartVerdict)
+	cleared := make(map[string]bool)
+	for _, dg := range digests {
+		for _, pc := range dg.PartCrashes {
+			key := crashKey{pc.CrashID, pc.Reporter}
+			if known, ok := crashes[key]; !ok || pc.AgeUs > known.AgeUs {
+				crashes[key] = pc
+			}
+		}
+		for _, pv := range dg.PartVerdicts {
+			if known, ok := verdicts[pv.Part]; !ok || comparePartVerdicts(pv, known) < 0 {
+				verdicts[pv.Part] = pv
+			}
+		}
+		for _, part := range dg.ClearedParts {
+			cleared[part] = true
+		}
+	}
+	out.PartCrashes = slices.SortedFunc(maps.Values(crashes), func(a, b PartCrash) int { return cmp.Compare(a.AgeUs, b.AgeUs) })
+	accused := 0
+	for i, pc := range out.PartCrashes {
+		if accused >= maxAccusedParts || i >= maxMergedCrashes {
+			out.PartCrashes = out.PartCrashes[:i]
+			break
+		}
+		accused += len(pc.Parts)
+	}
+	out.PartVerdicts = slices.SortedFunc(maps.Values(verdicts), comparePartVerdicts)
+	out.PartVerdicts = out.PartVerdicts[:min(len(out.PartVerdicts), maxMergedVerdicts)]
+	out.ClearedParts = slices.Sorted(maps.Keys(cleared))
+	out.ClearedParts = out.ClearedParts[:min(len(out.ClearedParts), maxClearedParts)]
+}
+
+// comparePartVerdicts orders verdicts by strength, the strongest first.
+func comparePartVerdicts(a, b PartVerdict) int {
+	return cmp.Or(cmp.Compare(b.Strikes, a.Strikes), cmp.Compare(a.AgeUs, b.AgeUs), cmp.Compare(b.Crashes, a.Crashes), cmp.Compare(a.Part, b.Part))
+}
+
 // subtractLoads returns loads without a host's own share, so that the host does not count it twice.
 func subtractLoads(loads, own Loads) Loads {
 	ownByKey := make(map[Key]Load, len(own))
--- a/internal/quarantine/parttracker.go
+++ b/internal/quarantine/parttracker.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// maxCrashes and maxCrashParts bound the crashes that are kept and the parts accused by each.
+	// maxCrashes and maxCrashParts bound the crashes that are kept and the parts accused by each, maxSentParts those
+	// of all crashes in one digest.
 	maxCrashes    = 512
-	maxCrashParts = 16
+	maxCrashParts = 64
+	maxSentParts  = 512
 	// maxSuspects bounds the parts that are kept; if it is reached, the quarter with the weakest evidence is removed.
 	maxSuspects = 4096
 	// maxVerdicts bounds the verdicts that are kept, maxSentVerdicts those in one digest.
@@ -455,10 +457,22 @@
 			cleared = append(cleared, id)
 		}
 	}
-	return crashes[:min(len(crashes), maxRecentChanges)], cleared[:min(len(cleared), maxRecentChanges)],
+	return boundParts(crashes), cleared[:min(len(cleared), maxRecentChanges)],
 		verdicts[:min(len(verdicts), maxSentVerdicts)]
 }
 
+// boundParts returns the first crashes, with maxSentParts parts or a few more.
+func boundParts(crashes []PartCrash) []PartCrash {
+	parts := 0
+	for i, pc := range crashes {
+		if parts >= maxSentParts || i >= maxRecentChanges {
+			return crashes[:i]
+		}
+		parts += len(pc.Parts)
+	}
+	return crashes
+}
+
 // SuspectCount returns the number of parts with a recorded crash or verdict, recently cleared ones included.
 func (tr *PartTracker) SuspectCount() int { return int(tr.suspectCount.Load()) }
 
