gateway: refuse requests with a part that crashes engines

Callers saw requests broken off on one engine after another, as each request with a certain part of its prompt was forwarded, and repeated on another engine. Before every attempt the gateway now asks quarantine.PartTracker. An attempt that breaks before its first event, at an engine that refuses connections afterwards, accuses the parts of its prompt but the last; a first event, or the complete response of another kind of route, clears them. Hosts merge crashes, cleared parts and verdicts of their peers, log each change of a verdict and count it in bergamotway.part.quarantine.

--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -66,7 +66,7 @@
 	lg.SetOutput(io.Discard)
 	gw := gateway.New(gateway.Options{
 		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(ck),
-		Budget: retry.NewWindowBudget(ck, retry.Limits{Window: time.Second}), Quarantine: quarantine.NewTracker(ck), BodyMemoryBytes: bodyMemory, Log: lg, Meter: nopMeter{}, Zone: "here",
+		Budget: retry.NewWindowBudget(ck, retry.Limits{Window: time.Second}), Quarantine: quarantine.NewTracker(ck), Parts: quarantine.NewPartTracker(quarantine.PartOptions{Clock: ck, Host: "host"}), BodyMemoryBytes: bodyMemory, Log: lg, Meter: nopMeter{}, Zone: "here",
 		HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 }, IsVersionExpired: func(string, uint64) bool { return false },
 	})
 	gw.Configure(catalog.New(catalog.Spec{
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -43,6 +43,7 @@
 		return
 	}
 	crashID := target.String()
+	fw.partRun.Crashed(crashID, detectedAt)
 	fw.gw.opts.Quarantine.RecordReport(quarantine.Report{Fingerprint: fw.fingerprint(), CrashID: crashID, RunStart: sentAt, DetectedAt: detectedAt})
 	fw.gw.opts.Log.WithFields(logrus.Fields{
 		"request": fw.rq.ID, "fingerprint": fw.fingerprint(), "crash": crashID,
@@ -57,11 +58,21 @@
 	}
 }
 
+// refuseBlocked refuses a request because of a part of its prompt.
+func (fw *forwarder) refuseBlocked(cause error) {
+	retryAfter := time.Duration(0)
+	var blocked *quarantine.BlockedError
+	if errors.As(cause, &blocked) && blocked.IsTransient() {
+		retryAfter = transientRetryAfter
+	}
+	fw.refuseQuarantined(retryAfter, cause)
+}
+
 // refuseQuarantined refuses a request that is expected to crash another endpoint.
-func (fw *forwarder) refuseQuarantined(cause error) {
+func (fw *forwarder) refuseQuarantined(retryAfter time.Duration, cause error) {
 	if fw.headerWritten || fw.mayHaveRun {
 		fw.refuse("crashes-endpoints", cause)
 		return
 	}
-	fw.gw.refuse(fw.w, fw.rq, http.StatusServiceUnavailable, "crashes-endpoints", 0, cause)
+	fw.gw.refuse(fw.w, fw.rq, http.StatusServiceUnavailable, "crashes-endpoints", retryAfter, cause)
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -67,6 +67,8 @@
 		endpointID string
 		// cachedFingerprint is the result of fingerprint, empty before its first call.
 		cachedFingerprint quarantine.Fingerprint
+		// partRun is the current attempt as the tracker of parts sees it.
+		partRun *quarantine.Run
 	}
 
 	// nextStep is the action that follows an attempt.
@@ -99,20 +101,11 @@
 			return
 		}
 		if fw.isQuarantined() {
-			fw.refuseQuarantined(lastErr)
-			return
-		}
-		pl, ok := fw.chooseEndpoint(remaining)
-		if !ok {
-			fw.refuse("no-endpoint", lastErr)
-			return
-		}
-		if !fw.headerWritten && rq.Model != "" && placement.IsOverdue(pl.expectedTTFT, rq.route.TargetLatency-gw.opts.Clock.Now().Sub(rq.arrived), remaining) {
-			fw.refuseOverdue(pl, remaining, lastErr)
+			fw.refuseQuarantined(0, lastErr)
 			return
 		}
 		var step nextStep
-		step, lastErr = fw.tryEndpoint(ctx, clientCtx, pl)
+		step, lastErr = fw.attempt(ctx, clientCtx, remaining, lastErr)
 		switch step {
 		case stepDone:
 			return
@@ -124,6 +117,27 @@
 	}
 }
 
+// attempt chooses an endpoint and sends the request to it, unless the request has to be refused.
+func (fw *forwarder) attempt(ctx, clientCtx context.Context, remaining time.Duration, lastErr error) (nextStep, error) {
+	gw, rq := fw.gw, fw.rq
+	var err error
+	if fw.partRun, err = gw.opts.Parts.Admit(rq.service.Name, rq.sharedPartIDs()); err != nil {
+		fw.refuseBlocked(err)
+		return stepDone, nil
+	}
+	defer fw.partRun.End()
+	pl, ok := fw.chooseEndpoint(remaining)
+	if !ok {
+		fw.refuse("no-endpoint", lastErr)
+		return stepDone, nil
+	}
+	if !fw.headerWritten && rq.Model != "" && placement.IsOverdue(pl.expectedTTFT, rq.route.TargetLatency-gw.opts.Clock.Now().Sub(rq.arrived), remaining) {
+		fw.refuseOverdue(pl, remaining, lastErr)
+		return stepDone, nil
+	}
+	return fw.tryEndpoint(ctx, clientCtx, pl)
+}
+
 // tryEndpoint sends the request to one endpoint and relays its response, if any, to the client.
 func (fw *forwarder) tryEndpoint(ctx, clientCtx context.Context, pl plan) (nextStep, error) {
 	gw, rq := fw.gw, fw.rq
@@ -225,6 +239,9 @@
 	}
 	if oc == fleet.Succeeded {
 		fw.clearSuspicion()
+		if rq.route.Kind != catalog.Streaming && rs.Status < http.StatusMultipleChoices {
+			fw.partRun.Succeeded()
+		}
 	}
 	return step, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,8 +51,10 @@
 		Budget *retry.WindowBudget
 		// Quarantine tracks the requests that were running on endpoints when they crashed.
 		Quarantine *quarantine.Tracker
-		Log        logrus.FieldLogger
-		Meter      Meter
+		// Parts tracks the parts of prompts that were running on endpoints when they crashed.
+		Parts *quarantine.PartTracker
+		Log   logrus.FieldLogger
+		Meter Meter
 		// BodyMemoryBytes bounds the memory of all request bodies together, in bytes; zero means no bound.
 		BodyMemoryBytes int64
 		// Zone is the availability zone of this host.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -124,6 +124,18 @@
 	return rq.PromptParts[len(rq.PromptParts)-2].ID
 }
 
+// sharedPartIDs returns the identifiers of all parts but the last, which other requests may hold as well.
+func (rq *Request) sharedPartIDs() []string {
+	if len(rq.PromptParts) < 2 {
+		return nil
+	}
+	out := make([]string, len(rq.PromptParts)-1)
+	for i := range out {
+		out[i] = rq.PromptParts[i].ID
+	}
+	return out
+}
+
 // memoryTokens returns the KV cache memory that the request adds at an engine, in tokens. It leaves out
 // the leading parts that many conversations share, as an engine holds these once for all of them.
 func (rq *Request) memoryTokens() int {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,6 +56,7 @@
 		if hasID && !fw.isNextEvent(id) {
 			return fw.retryOrGiveUp(errEventOrder)
 		}
+		fw.partRun.Succeeded()
 		if !fw.headerWritten {
 			fw.gw.opts.Meter.ObserveFirstToken(fw.rq.route.Name, fw.gw.opts.Clock.Now().Sub(fw.rq.arrived))
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,7 @@
 		gateway         *gateway.Gateway
 		retryBudget     *retry.WindowBudget
 		quarantine      *quarantine.Tracker
+		parts           *quarantine.PartTracker
 		storeState      *storeState
 		leaderLease     *leadership.Candidate
 		upgrades        *upgrade.Controller
@@ -152,6 +153,7 @@
 	no.storeState.targets = weights.New(weights.Options{
 		Clock: ck, Store: deps.Store, RecordPrefix: prefixTargets, RecordDelay: no.recordDelay, MaxAge: no.maxWeightsAge,
 	})
+	no.parts = no.newPartTracker()
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
 		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, OnChange: no.logLeadership,
@@ -171,7 +173,7 @@
 	no.cache.SetFetchPermit(no.canFetch)
 	no.storeState.setTargetVersion, no.storeState.onLeaderGone = no.upgrades.SetTarget, no.leaderLease.NotifyVacant
 	no.gateway = gateway.New(gateway.Options{
-		Clock: ck, Codec: deps.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.retryBudget, Quarantine: no.quarantine,
+		Clock: ck, Codec: deps.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.retryBudget, Quarantine: no.quarantine, Parts: no.parts,
 		BodyMemoryBytes: int64(float64(st.MemoryMiB) * mebibyte * bodyMemoryShare),
 		Log:             lg.WithField("part", "gateway"), Meter: deps.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		HostCount:     func() int { return int(no.hostCount.Load()) },
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -67,6 +67,7 @@
 	for _, fp := range cleared {
 		dg.Cleared = append(dg.Cleared, string(fp))
 	}
+	no.addPartState(&dg)
 	return dg
 }
 
@@ -156,6 +157,7 @@
 	for _, fp := range dg.Cleared {
 		no.quarantine.ClearSuspect(quarantine.Fingerprint(fp))
 	}
+	no.mergePartState(dg)
 	if dg.GateRevisionPlusOne > 0 {
 		no.reclaimer.extendFetchGrant(dg.GateRevisionPlusOne-1, dg.EndpointClockMs)
 	}
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -49,6 +49,7 @@
 	linkBytes        metric.Int64Counter
 	requests         metric.Int64Counter
 	connections      metric.Int64Counter
+	partQuarantine   metric.Int64Counter
 	acceleratorTime  metric.Float64Counter
 
 	controlBytesTotal   atomic.Int64
@@ -87,6 +88,7 @@
 		{&me.linkBytes, "bergamotway.link.bytes", "Bytes moved over links of store hosts by direction."},
 		{&me.requests, "bergamotway.requests", "Requests by route and how they ended."},
 		{&me.connections, "bergamotway.connections", "Connections opened to endpoints."},
+		{&me.partQuarantine, "bergamotway.part.quarantine", "Changes of the quarantine of prompt parts by kind."},
 	}
 	for _, c := range counters {
 		if *c.target, err = om.Int64Counter(c.name, metric.WithDescription(c.description)); err != nil {
@@ -166,6 +168,11 @@
 // ConnectionOpened counts a connection opened to an endpoint.
 func (me *Meter) ConnectionOpened() { me.connections.Add(context.Background(), 1) }
 
+// PartQuarantineChanged counts a part of prompts that was blocked, tried again or cleared.
+func (me *Meter) PartQuarantineChanged(kind string) {
+	me.partQuarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", kind)))
+}
+
 // AddLinkBytes adds bytes transferred over a store host's link; direction is "import" or "export".
 func (me *Meter) AddLinkBytes(direction string, bytes int64) {
 	me.linkBytes.Add(context.Background(), bytes, metric.WithAttributes(attribute.String("direction", direction)))
