quarantine: tell a part from those that always come with it

Parts with the same evidence are now blocked together, each with the others as its companions. A request that lacks a companion is tried before the block ends, by one host at a time: a response clears its parts, and a crash removes the companion.

--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -33,7 +33,7 @@
 	no.deps.Meter.PartQuarantineChanged(ch.Kind.String())
 	no.log.WithFields(logrus.Fields{
 		"prompt-part": ve.Part, "change": ch.Kind.String(), "crashes": ve.Crashes, "strikes": ve.Strikes,
-		"age-ms": ch.Age.Milliseconds(), "reporters": strings.Join(ve.Reporters, " "),
+		"age-ms": ch.Age.Milliseconds(), "reporters": strings.Join(ve.Reporters, " "), "companions": strings.Join(ve.Companions, " "),
 		"blocked-ms": max(0, ve.BlockedUntil().Sub(no.ck.Now())).Milliseconds(),
 	}).Warn("Quarantine of a prompt part changed.")
 }
@@ -50,7 +50,8 @@
 	dg.ClearedParts = cleared
 	for _, ve := range verdicts {
 		dg.PartVerdicts = append(dg.PartVerdicts, peering.PartVerdict{
-			Part: ve.Part, Crashes: ve.Crashes, Strikes: ve.Strikes, AgeUs: now.Sub(ve.LastCrash).Microseconds(), Reporters: ve.Reporters,
+			Part: ve.Part, Crashes: ve.Crashes, Strikes: ve.Strikes, AgeUs: now.Sub(ve.LastCrash).Microseconds(),
+			Reporters: ve.Reporters, Companions: ve.Companions,
 		})
 	}
 }
@@ -72,7 +73,8 @@
 	}
 	for _, pv := range dg.PartVerdicts {
 		no.parts.Merge(quarantine.Verdict{
-			Part: pv.Part, Crashes: pv.Crashes, Strikes: pv.Strikes, LastCrash: before(pv.AgeUs), Reporters: pv.Reporters,
+			Part: pv.Part, Crashes: pv.Crashes, Strikes: pv.Strikes, LastCrash: before(pv.AgeUs),
+			Reporters: pv.Reporters, Companions: pv.Companions,
 		})
 	}
 }
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -111,6 +111,8 @@
 		AgeUs int64 `json:"a"`
 		// Reporters names some hosts that observed a crash.
 		Reporters []string `json:"h,omitempty"`
+		// Companions are other parts that were present in all of the crashes.
+		Companions []string `json:"w,omitempty"`
 	}
 
 	// Digest is the message that a host sends to other hosts.
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -41,6 +41,8 @@
 		// deadlyParts is the number of deadly parts; isShared makes the first part of a team the deadly one.
 		deadlyParts int
 		isShared    bool
+		// oneSession lets all requests with a deadly part belong to one session, whose other requests are sound.
+		oneSession bool
 		// deadlyFrom to deadlyUntil is when such requests crash engines, sentUntil when they stop; end is the end of
 		// the simulation.
 		deadlyFrom, deadlyUntil, sentUntil, end time.Duration
@@ -67,6 +69,8 @@
 		// clearedAt is when a host cleared a deadly part last.
 		clearedAt   time.Duration
 		maxSuspects int
+		// sessionSound holds the sound requests of the first session.
+		sessionSound []*simRequest
 	}
 
 	simEvent struct {
@@ -235,6 +239,9 @@
 	rq.parts = []string{team, fmt.Sprintf("session-%d", session)}
 	if si.now >= si.deadlyFrom && si.now < si.sentUntil && si.rng.Float64() < si.share {
 		rq.deadly = fmt.Sprintf("deadly-%d", si.rng.IntN(si.deadlyParts))
+		if si.oneSession {
+			rq.parts = []string{"team-0", "session-0"}
+		}
 		if si.isShared {
 			rq.parts = []string{rq.deadly, rq.parts[1]}
 		} else {
@@ -247,6 +254,9 @@
 	}
 	if rq.deadly == "" {
 		si.out.sound[si.second()]++
+		if session == 0 {
+			si.out.sessionSound = append(si.out.sessionSound, rq)
+		}
 	}
 	si.send(rq, ho)
 }
@@ -590,3 +600,29 @@
 		})
 	}
 }
+
+// Guards against blocking a session for the crashes of a part that only its requests hold.
+func TestFleetTellsPartFromItsSession(t *testing.T) {
+	t.Parallel()
+	for name, share := range map[string]float64{"share-0.5": 0.005, "share-5": 0.05} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(6) {
+				sc := fleetScenarios()["share-5"]
+				sc.share, sc.oneSession, sc.sessions, sc.seed = share, true, 100, seed
+				sc.deadlyUntil, sc.sentUntil, sc.end = 60*time.Second, 60*time.Second, 62*time.Second
+				oc := simulate(sc)
+				served, total := 0, 0
+				for _, rq := range oc.sessionSound {
+					if rq.sentAt > oc.referenceCrash("deadly-0")+2*contactTime && rq.sentAt < sc.sentUntil {
+						total++
+						served += min(rq.attempts, 1)
+					}
+				}
+				t.Logf("seed %d: crashes %d, late attempts %d, sound requests of the session %d of %d", seed, len(oc.crashTimes["deadly-0"]), oc.lateAttempts("deadly-0"), served, total)
+				assert.LessOrEqual(t, oc.lateAttempts("deadly-0"), 3, "seed %d", seed)
+				assert.GreaterOrEqual(t, served*2, total, "seed %d", seed)
+			}
+		})
+	}
+}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -39,9 +39,15 @@
 	maxStrikes  = 5
 	// verdictRetention is how long a verdict remains after its block has ended without a trial.
 	verdictRetention = time.Hour
-	// trialSlot is the period for which a host is selected to try a part; trials start in the first half of it, so
-	// that the next host knows the result.
-	trialSlot = 10 * time.Second
+	// trialSlot is the period for which a host is selected to try a part. No trial starts in the last trialPause of it,
+	// so that the next host knows the result.
+	trialSlot  = 10 * time.Second
+	trialPause = 3 * time.Second
+	// minTrialAge is the least age of the last crash for a trial before the end of a block. By then all hosts agree on
+	// the companions.
+	minTrialAge = time.Second
+	// maxCompanions bounds the companions of a verdict.
+	maxCompanions = 4
 	// maxVerdictSkew bounds the difference between the times at which two hosts place a crash.
 	maxVerdictSkew = 2 * time.Second
 )
@@ -59,6 +65,9 @@
 		LastCrash time.Time
 		// Reporters names up to four hosts that detected crashes.
 		Reporters []string
+		// Companions are the parts that were present in all of the crashes as well, so that the evidence does not tell
+		// which of them is the cause.
+		Companions []string
 	}
 
 	// PartCrash reports the parts of the requests that waited for their first event at an endpoint when it crashed.
@@ -150,17 +159,42 @@
 	return cmp.Or(cmp.Compare(b.Strikes, a.Strikes), cmp.Compare(b.Crashes, a.Crashes), b.LastCrash.Compare(a.LastCrash), cmp.Compare(a.Part, b.Part))
 }
 
-// isTrialTurn reports whether a host may try the part now that its block has ended, and in which slot.
-func (ve Verdict) isTrialTurn(now time.Time, host string, hosts []string) (slot int64, ok bool) {
-	elapsed := now.Sub(ve.BlockedUntil())
-	slot = int64(elapsed / trialSlot)
-	if elapsed%trialSlot > trialSlot/2 {
+// isTrialTurn reports whether a host may try the part now, and in which slot since the last crash. A request
+// without some of the companions is tried before the block ends, as its answer tells the parts apart.
+func (ve Verdict) isTrialTurn(now time.Time, parts []string, host string, hosts []string) (slot int64, ok bool) {
+	slot = int64(max(0, now.Sub(ve.LastCrash)) / trialSlot)
+	if !ve.mayBeTried(now, parts) {
 		return slot, false
 	}
-	owner, found := rendezvous.Owner(fmt.Sprintf("%s/%d/%d", ve.Part, ve.Strikes, slot), hosts)
+	group := append(slices.Clone(ve.Companions), ve.Part)
+	owner, found := rendezvous.Owner(fmt.Sprintf("%s/%d/%d", slices.Min(group), ve.Strikes, slot), hosts)
 	return slot, !found || owner == host
 }
 
+// mayBeTried reports whether some host may try the part now with a request that has the given parts.
+func (ve Verdict) mayBeTried(now time.Time, parts []string) bool {
+	elapsed := now.Sub(ve.LastCrash)
+	if elapsed%trialSlot > trialSlot-trialPause {
+		return false
+	}
+	return !now.Before(ve.BlockedUntil()) || (!ve.holdsCompanions(parts) && elapsed >= minTrialAge)
+}
+
+// holdsCompanions reports whether a request has all parts that were present in all of the crashes.
+func (ve Verdict) holdsCompanions(parts []string) bool {
+	for _, companion := range ve.Companions {
+		if !slices.Contains(parts, companion) {
+			return false
+		}
+	}
+	return true
+}
+
+// removeCompanions removes the companions for which keep returns false.
+func (ve *Verdict) removeCompanions(keep func(string) bool) {
+	ve.Companions = slices.DeleteFunc(slices.Clone(ve.Companions), func(part string) bool { return !keep(part) })
+}
+
 // rank returns the strength of the evidence against a part.
 func (su *partSuspect) rank() int {
 	switch {
--- a/internal/quarantine/parttracker.go
+++ b/internal/quarantine/parttracker.go
@@ -110,13 +110,13 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.opts.Clock.Now()
-	for _, id := range parts {
-		id = partKey(id)
+	keys := partKeys(parts)
+	for _, id := range keys {
 		su := tr.suspects[id]
 		if su == nil || slices.Contains(ru.trials, id) {
 			continue
 		}
-		isTrial, err := tr.admitSuspect(id, su, now)
+		isTrial, err := tr.admitSuspect(id, su, keys, now)
 		if err != nil {
 			return nil, err
 		}
@@ -131,11 +131,13 @@
 }
 
 // admitSuspect reports whether a request with a suspected part is a trial, or why it is refused.
-func (tr *PartTracker) admitSuspect(id string, su *partSuspect, now time.Time) (isTrial bool, err error) {
+func (tr *PartTracker) admitSuspect(id string, su *partSuspect, parts []string, now time.Time) (isTrial bool, err error) {
 	tr.judge(id, su, now)
-	if ve := su.verdict; ve != nil {
-		if now.After(ve.BlockedUntil()) && !su.trying {
-			slot, ok := ve.isTrialTurn(now, tr.opts.Host, tr.hosts())
+	if su.verdict != nil {
+		ve := *su.verdict
+		ve.removeCompanions(func(id string) bool { return tr.suspects[id] != nil && tr.suspects[id].verdict != nil })
+		if ve.mayBeTried(now, parts) && !su.trying {
+			slot, ok := ve.isTrialTurn(now, parts, tr.opts.Host, tr.hosts())
 			if ok && su.triedSlot != slot+1 {
 				return true, nil
 			}
@@ -161,7 +163,7 @@
 	if su.verdict == nil {
 		return
 	}
-	slot, _ := su.verdict.isTrialTurn(now, tr.opts.Host, nil)
+	slot, _ := su.verdict.isTrialTurn(now, nil, tr.opts.Host, nil)
 	su.triedSlot = slot + 1
 	tr.noteChange(PartTried, *su.verdict, now)
 }
@@ -190,8 +192,14 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.opts.Clock.Now()
+	keys := partKeys(ru.parts)
 	for _, part := range ru.trials {
-		if su := tr.suspects[part]; su != nil && su.verdict != nil && detectedAt.After(su.verdict.BlockedUntil()) {
+		su := tr.suspects[part]
+		if su == nil || su.verdict == nil {
+			continue
+		}
+		su.verdict.removeCompanions(func(id string) bool { return slices.Contains(keys, id) })
+		if detectedAt.After(su.verdict.BlockedUntil()) {
 			su.verdict.Strikes = min(su.verdict.Strikes+1, maxStrikes)
 			su.verdict.LastCrash = detectedAt
 			su.triedSlot = 0
@@ -199,8 +207,8 @@
 		}
 	}
 	cr := tr.addCrash(PartCrash{ID: id, Reporter: tr.opts.Host, Scope: ru.scope, DetectedAt: detectedAt, Parts: ru.parts}, now)
-	for _, part := range ru.parts {
-		if part = partKey(part); cr.parts[part] && len(cr.ownParts) < maxCrashParts {
+	for _, part := range keys {
+		if cr.parts[part] && len(cr.ownParts) < maxCrashParts {
 			cr.ownParts[part] = true
 		}
 	}
@@ -237,7 +245,7 @@
 	if !isNew {
 		return cr
 	}
-	for part := range cr.parts {
+	for _, part := range slices.Sorted(maps.Keys(cr.parts)) {
 		if su := tr.suspects[part]; su != nil {
 			tr.judge(part, su, now)
 		}
@@ -276,9 +284,32 @@
 	if !tr.lastSuccess[crashes[0].scope].After(crashes[0].detectedAt) {
 		return
 	}
-	tr.setVerdict(su, Verdict{
-		Part: id, Crashes: len(crashes), Strikes: 1, LastCrash: crashes[len(crashes)-1].detectedAt, Reporters: reportersOf(crashes),
-	}, now)
+	// All parts with the same evidence are blocked together; otherwise the first one would explain the others' crashes.
+	group := append(tr.companions(id, crashes), id)
+	for _, part := range group {
+		others := slices.DeleteFunc(slices.Clone(group), func(other string) bool { return other == part })
+		if member := tr.suspects[part]; member.verdict == nil {
+			tr.setVerdict(member, Verdict{
+				Part: part, Crashes: len(crashes), Strikes: 1, LastCrash: crashes[len(crashes)-1].detectedAt,
+				Reporters: reportersOf(crashes), Companions: others,
+			}, now)
+		}
+	}
+}
+
+// companions returns up to maxCompanions other parts that all of the crashes still accuse.
+func (tr *PartTracker) companions(id string, crashes []*partCrash) []string {
+	var out []string
+	for _, part := range slices.Sorted(maps.Keys(crashes[0].parts)) {
+		su := tr.suspects[part]
+		if part == id || su == nil || len(out) == maxCompanions {
+			continue
+		}
+		if !slices.ContainsFunc(crashes, func(cr *partCrash) bool { return su.crashes[cr.id] == nil }) {
+			out = append(out, part)
+		}
+	}
+	return out
 }
 
 // unexplained returns the crashes of a part without those that accuse a part with more crashes as well.
@@ -382,6 +413,7 @@
 	known := su.verdict
 	known.Crashes = max(known.Crashes, ve.Crashes)
 	known.Reporters = mergeReporters(known.Reporters, ve.Reporters)
+	known.removeCompanions(func(id string) bool { return slices.Contains(ve.Companions, id) })
 	// Each relay makes a crash seem a little newer, so only a clear difference counts.
 	if ve.Strikes > known.Strikes || ve.LastCrash.After(known.LastCrash.Add(maxVerdictSkew)) {
 		known.Strikes = max(known.Strikes, ve.Strikes)
@@ -425,7 +457,7 @@
 	for _, su := range tr.suspects {
 		if su.verdict != nil && !isExpired(*su.verdict, now) {
 			ve := *su.verdict
-			ve.Reporters = slices.Clone(ve.Reporters)
+			ve.Reporters, ve.Companions = slices.Clone(ve.Reporters), slices.Clone(ve.Companions)
 			out = append(out, ve)
 		}
 	}
@@ -580,6 +612,14 @@
 	return now.Sub(ve.BlockedUntil()) > verdictRetention
 }
 
+func partKeys(ids []string) []string {
+	out := make([]string, len(ids))
+	for i, id := range ids {
+		out[i] = partKey(id)
+	}
+	return out
+}
+
 // partKey returns the identifier of a part, or a hash of a long one.
 func partKey(id string) string {
 	if len(id) <= maxPartIDBytes {
--- a/internal/quarantine/parttracker_test.go
+++ b/internal/quarantine/parttracker_test.go
@@ -135,6 +135,22 @@
 	require.Equal(t, 9, tr.Verdicts()[0].Crashes)
 }
 
+func TestRequestWithoutCompanionIsTriedBeforeTheBlockEnds(t *testing.T) {
+	tr, ck := newParts()
+	for i := range 3 {
+		tr.RecordCrash(quarantine.PartCrash{ID: fmt.Sprint(i), Reporter: "other", Scope: service, DetectedAt: ck.Now(), Parts: []string{"session", "deadly"}})
+		ck.Advance(time.Second)
+		succeed(t, tr, "team")
+	}
+	require.Equal(t, "session", blockedPart(tr, "session", "deadly"))
+	require.Len(t, tr.Verdicts(), 2)
+	require.Equal(t, []string{"session"}, tr.Verdicts()[0].Companions)
+	succeed(t, tr, "session")
+	require.Len(t, tr.Verdicts(), 1)
+	require.Equal(t, "deadly", blockedPart(tr, "session", "deadly"))
+	require.Equal(t, "deadly", blockedPart(tr, "deadly"), "its companion is cleared, so the evidence is unambiguous")
+}
+
 func TestOneHostTriesBlockedPart(t *testing.T) {
 	ck := clockwork.NewFakeClock()
 	var names []string
