--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -86,6 +86,7 @@
 		Budget:     retry.NewWindowBudget(fx.ck, retry.Limits{Window: time.Second, Slack: 100}),
 		Quarantine: quarantine.NewTracker(fx.ck), Parts: fx.parts, Log: lg, Meter: nopMeter{}, Zone: "here",
 		HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 }, IsVersionExpired: func(string, uint64) bool { return false },
+		WeightsTimeLeft: func(string, uint64) (time.Duration, bool) { return 0, false },
 	})
 	fx.gw.Configure(catalog.New(catalog.Spec{
 		Version: 1, Routes: []catalog.Route{{
