verdicts: keep verdicts on prompt parts in the metadata store

What callers saw: after all hosts had lost power together, requests with a part that was already blocked crashed engine after engine again, until the restarted hosts had learned the part anew.

Cause: verdicts existed only in the memory of hosts and in the digests that they exchange.

Change: hosts write the verdicts as items below bergamotway/quarantine/ and merge them when they read the store, before they are ready. The item is removed when a response clears the part or the verdict expires. If someone else removes it, the part is cleared on all hosts, and verdicts that return from a host that did not know of the removal are released, not written. An item can be marked as set by an operator; responses do not clear such a part before its block ends.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,6 +158,7 @@
 		RecordDelay: no.recordDelay, MaxAge: no.maxWeightsAge, Log: lg.WithField("part", "state"),
 	})
 	no.parts = no.newPartTracker()
+	no.storeState.verdicts = no.newVerdictRecords()
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
 		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, OnChange: no.logLeadership,
@@ -238,6 +239,7 @@
 	eg.Go(func() error { no.sweepConnections(workCtx); return nil })
 	eg.Go(func() error { no.followCacheStores(workCtx); return nil })
 	eg.Go(func() error { no.storeState.targets.Run(workCtx); return nil })
+	eg.Go(func() error { no.storeState.verdicts.Run(workCtx); return nil })
 	leaderCtx, endLeading := context.WithCancel(workCtx)
 	defer endLeading()
 	eg.Go(func() error { no.leaderLease.Run(leaderCtx); return nil })
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -8,15 +8,34 @@
 
 	"github.com/bergamotway/bergamotway/internal/peering"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
+	"github.com/bergamotway/bergamotway/internal/verdicts"
 )
 
 // newPartTracker returns the tracker of the parts of prompts that crash endpoints.
 func (no *Node) newPartTracker() *quarantine.PartTracker {
 	return quarantine.NewPartTracker(quarantine.PartOptions{
-		Clock: no.ck, Host: no.st.Name, Hosts: no.quarantineHosts, OnChange: no.logPartChange,
+		Clock: no.ck, Host: no.st.Name, Hosts: no.quarantineHosts, OnChange: no.notePartChange,
 	})
 }
 
+// newVerdictRecords returns what keeps the verdicts of the tracker in the metadata store.
+func (no *Node) newVerdictRecords() *verdicts.Records {
+	return verdicts.New(verdicts.Options{
+		Clock: no.ck, Store: no.deps.Store, Tracker: no.parts, Prefix: prefixVerdicts, RecordDelay: no.verdictDelay,
+		Log: no.log.WithField("part", "state"),
+	})
+}
+
+// verdictDelay returns how long after a change of a verdict is due this host writes it. All but the first host wait
+// until they must have seen the change of another.
+func (no *Node) verdictDelay() time.Duration {
+	delay := no.recordDelay()
+	if delay > 0 {
+		delay += time.Duration(no.settings().Bounds.ApplyMs) * time.Millisecond
+	}
+	return delay
+}
+
 // quarantineHosts returns the names of all hosts, including this one even if it is not registered.
 func (no *Node) quarantineHosts() []string {
 	names := no.storeState.hostNames()
@@ -28,9 +47,12 @@
 	return append(names, no.st.Name)
 }
 
-func (no *Node) logPartChange(ch quarantine.Change) {
+func (no *Node) notePartChange(ch quarantine.Change) {
 	ve := ch.Verdict
 	no.deps.Meter.PartQuarantineChanged(ch.Kind.String())
+	if ch.Kind == quarantine.PartCleared {
+		no.storeState.verdicts.NoteCleared(ve.Part)
+	}
 	no.log.WithFields(logrus.Fields{
 		"prompt-part": ve.Part, "change": ch.Kind.String(), "crashes": ve.Crashes, "strikes": ve.Strikes,
 		"age-ms": ch.Age.Milliseconds(), "reporters": strings.Join(ve.Reporters, " "), "companions": strings.Join(ve.Companions, " "),
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
+	"github.com/bergamotway/bergamotway/internal/verdicts"
 	"github.com/bergamotway/bergamotway/internal/weights"
 )
 
@@ -22,6 +23,7 @@
 	prefixOwn        = "bergamotway/"
 	prefixHosts      = prefixOwn + "hosts/"
 	prefixTargets    = prefixOwn + "named/"
+	prefixVerdicts   = prefixOwn + "quarantine/"
 	keyCheckpoint    = prefixOwn + "checkpoint"
 	keyGates         = prefixOwn + "cache/gates"
 	keyUpgradeLeader = prefixOwn + "leader/weights"
@@ -75,6 +77,8 @@
 		mu      sync.Mutex
 		hosts   map[string]peering.Peer
 		targets *weights.Targets
+		// verdicts receives the items about parts of prompts that crash endpoints.
+		verdicts *verdicts.Records
 		// unreachable is set after a failed call to the store, until a call succeeds.
 		unreachable bool
 		// hasLeader reports whether the upgrade leader's item exists.
@@ -108,6 +112,7 @@
 	for _, it := range sn.Items {
 		ss.applyHostItem(it)
 	}
+	ss.verdicts.ApplySnapshot(sn)
 	for _, it := range sn.Items {
 		if _, ok := ss.decoder.EndpointID(it.Key); ok {
 			en, err := ss.decoder.Entry(it.Key, it.Value)
@@ -171,6 +176,7 @@
 		ss.setHosts(hosts)
 		return
 	}
+	ss.verdicts.ApplyEvent(ev)
 	ss.applyHostItem(it)
 	if it.Key == keyUpgradeLeader {
 		ss.hasLeader.Store(!ev.Removed)
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -68,6 +68,8 @@
 		// Companions are the parts that were present in all of the crashes as well, so that the evidence does not tell
 		// which of them is the cause.
 		Companions []string
+		// ByOperator is set if an operator has set the verdict. Until the block ends, responses do not clear the part.
+		ByOperator bool
 	}
 
 	// PartCrash reports the parts of the requests that waited for their first event at an endpoint when it crashed.
@@ -146,6 +148,11 @@
 // BlockedUntil returns when the part may be tried again.
 func (ve Verdict) BlockedUntil() time.Time { return ve.LastCrash.Add(blockDuration(ve.Strikes)) }
 
+// IsExpired reports whether a verdict is no longer kept: its block ended long ago without a trial.
+func (ve Verdict) IsExpired(now time.Time) bool {
+	return now.Sub(ve.BlockedUntil()) > verdictRetention
+}
+
 func blockDuration(strikes int) time.Duration {
 	d := firstBlock
 	for i := 1; i < strikes && d < maxBlock; i++ {
--- a/internal/quarantine/parttracker.go
+++ b/internal/quarantine/parttracker.go
@@ -347,7 +347,7 @@
 	}
 }
 
-// Clear clears a part: after a response at another host, or by an operator's order.
+// Clear clears a part after a response at another host.
 func (tr *PartTracker) Clear(part string) {
 	defer tr.publishChanges()
 	tr.mu.Lock()
@@ -355,9 +355,21 @@
 	tr.clear(partKey(part), tr.opts.Clock.Now())
 }
 
+// Release clears a part by an operator's order.
+func (tr *PartTracker) Release(part string) {
+	defer tr.publishChanges()
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	id := partKey(part)
+	if su := tr.suspects[id]; su != nil && su.verdict != nil {
+		su.verdict.ByOperator = false
+	}
+	tr.clear(id, tr.opts.Clock.Now())
+}
+
 func (tr *PartTracker) clear(id string, now time.Time) {
 	su := tr.suspects[id]
-	if su == nil {
+	if su == nil || su.verdict != nil && su.verdict.ByOperator && now.Before(su.verdict.BlockedUntil()) {
 		return
 	}
 	hadVerdict := su.verdict != nil
@@ -380,13 +392,13 @@
 	now := tr.opts.Clock.Now()
 	id := partKey(part)
 	su := tr.suspect(id)
-	ve := Verdict{Part: id, Crashes: len(su.crashes), Strikes: maxStrikes, LastCrash: now, Reporters: []string{tr.opts.Host}}
+	ve := Verdict{Part: id, Crashes: len(su.crashes), Strikes: maxStrikes, LastCrash: now, Reporters: []string{tr.opts.Host}, ByOperator: true}
 	tr.setVerdict(su, ve, now)
 }
 
 // Merge adopts the verdict of another host, or of a store, if it is stronger or newer than the one that is known and
-// no response has cleared the part since.
-func (tr *PartTracker) Merge(ve Verdict) {
+// no response has cleared the part since; in that case it returns false. What an operator has set is always adopted.
+func (tr *PartTracker) Merge(ve Verdict) bool {
 	defer tr.publishChanges()
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
@@ -396,21 +408,22 @@
 	if ve.LastCrash.After(now) {
 		ve.LastCrash = now
 	}
-	if isExpired(ve, now) {
-		return
+	if ve.IsExpired(now) {
+		return true
 	}
 	su := tr.suspect(ve.Part)
-	if !su.clearedAt.IsZero() && su.clearedAt.Add(maxVerdictSkew).After(ve.LastCrash) {
+	if !ve.ByOperator && !su.clearedAt.IsZero() && su.clearedAt.Add(maxVerdictSkew).After(ve.LastCrash) {
 		if now.Sub(su.announcedAt) > recentChangePeriod {
 			su.announcedAt = now
 		}
-		return
+		return false
 	}
 	if su.verdict == nil {
 		tr.setVerdict(su, ve, now)
-		return
+		return true
 	}
 	known := su.verdict
+	known.ByOperator = known.ByOperator || ve.ByOperator
 	known.Crashes = max(known.Crashes, ve.Crashes)
 	known.Reporters = mergeReporters(known.Reporters, ve.Reporters)
 	known.removeCompanions(func(id string) bool { return slices.Contains(ve.Companions, id) })
@@ -420,6 +433,7 @@
 		known.LastCrash = ve.LastCrash
 		su.triedSlot = 0
 	}
+	return true
 }
 
 func (tr *PartTracker) setVerdict(su *partSuspect, ve Verdict, now time.Time) {
@@ -455,7 +469,7 @@
 	now := tr.opts.Clock.Now()
 	var out []Verdict
 	for _, su := range tr.suspects {
-		if su.verdict != nil && !isExpired(*su.verdict, now) {
+		if su.verdict != nil && !su.verdict.IsExpired(now) {
 			ve := *su.verdict
 			ve.Reporters, ve.Companions = slices.Clone(ve.Reporters), slices.Clone(ve.Companions)
 			out = append(out, ve)
@@ -549,7 +563,7 @@
 		}
 	}
 	for id, su := range tr.suspects {
-		if su.verdict != nil && isExpired(*su.verdict, now) {
+		if su.verdict != nil && su.verdict.IsExpired(now) {
 			su.verdict = nil
 		}
 		if su.verdict == nil && len(su.crashes) == 0 && !su.trying && now.Sub(su.clearedAt) > clearedRetention {
@@ -607,11 +621,6 @@
 	}
 }
 
-// isExpired reports whether a verdict is no longer kept: its block ended long ago without a trial.
-func isExpired(ve Verdict, now time.Time) bool {
-	return now.Sub(ve.BlockedUntil()) > verdictRetention
-}
-
 func partKeys(ids []string) []string {
 	out := make([]string, len(ids))
 	for i, id := range ids {
--- a/internal/quarantine/parttracker_test.go
+++ b/internal/quarantine/parttracker_test.go
@@ -189,6 +189,23 @@
 	require.Equal(t, "a", blockedPart(tr, "a"))
 }
 
+func TestResponseClearsPartOfOperatorAfterTheBlock(t *testing.T) {
+	tr, ck := newParts()
+	ve := quarantine.Verdict{Part: "a", Strikes: 1, LastCrash: ck.Now(), ByOperator: true}
+	require.True(t, tr.Merge(ve))
+	tr.Clear("a")
+	require.Equal(t, "a", blockedPart(tr, "a"))
+	ck.Advance(31 * time.Second)
+	succeed(t, tr, "a")
+	require.Empty(t, tr.Verdicts())
+	require.False(t, tr.Merge(quarantine.Verdict{Part: "a", Strikes: 1, LastCrash: ck.Now()}))
+	ve.LastCrash = ck.Now()
+	require.True(t, tr.Merge(ve))
+	require.Equal(t, "a", blockedPart(tr, "a"))
+	tr.Release("a")
+	require.Empty(t, blockedPart(tr, "a"))
+}
+
 // Guards against relayed verdicts whose age shrinks with each relay, so that a block would never end.
 func TestEchoedVerdictKeepsItsAge(t *testing.T) {
 	tr, ck := newParts()
