bergamotctl: list, block and clear parts of prompts

Operators could see blocked parts in the logs of hosts only, and had no way to clear a part that was blocked wrongly, or to block one before it had crashed several engines.

Change: `bergamotctl quarantine list|block PART|clear PART` works on the items below bergamotway/quarantine/ of the metadata store, which all hosts follow. A call to that store whose outcome is unknown ends with exit code 5, like a change of the configuration.

Evidence: TestQuarantineIsListedBlockedAndCleared and TestQuarantineFailuresHaveExitCodes run the program against the stand-in store; TestItemsOfOperatorBlockAndClearPart shows that a host follows such items.

--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -23,7 +23,7 @@
 	prefixOwn        = "bergamotway/"
 	prefixHosts      = prefixOwn + "hosts/"
 	prefixTargets    = prefixOwn + "named/"
-	prefixVerdicts   = prefixOwn + "quarantine/"
+	prefixVerdicts   = verdicts.Prefix
 	keyCheckpoint    = prefixOwn + "checkpoint"
 	keyGates         = prefixOwn + "cache/gates"
 	keyUpgradeLeader = prefixOwn + "leader/weights"
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -148,6 +148,11 @@
 // BlockedUntil returns when the part may be tried again.
 func (ve Verdict) BlockedUntil() time.Time { return ve.LastCrash.Add(blockDuration(ve.Strikes)) }
 
+// NewOperatorVerdict returns the verdict with which an operator blocks a part: for an hour, unless it is released.
+func NewOperatorVerdict(part string, now time.Time) Verdict {
+	return Verdict{Part: PartID(part), Strikes: maxStrikes, LastCrash: now, ByOperator: true}
+}
+
 // IsExpired reports whether a verdict is no longer kept: its block ended long ago without a trial.
 func (ve Verdict) IsExpired(now time.Time) bool {
 	return now.Sub(ve.BlockedUntil()) > verdictRetention
@@ -161,8 +166,8 @@
 	return min(d, maxBlock)
 }
 
-// compareVerdicts orders verdicts by strength, the strongest first.
-func compareVerdicts(a, b Verdict) int {
+// CompareVerdicts orders verdicts by strength, the strongest first.
+func CompareVerdicts(a, b Verdict) int {
 	return cmp.Or(cmp.Compare(b.Strikes, a.Strikes), cmp.Compare(b.Crashes, a.Crashes), b.LastCrash.Compare(a.LastCrash), cmp.Compare(a.Part, b.Part))
 }
 
--- a/internal/quarantine/parttracker.go
+++ b/internal/quarantine/parttracker.go
@@ -234,7 +234,7 @@
 	cr.reporters[pc.Reporter] = true
 	isNew := false
 	for _, part := range pc.Parts {
-		part = partKey(part)
+		part = PartID(part)
 		if cr.parts[part] || len(cr.parts) >= maxCrashParts && tr.suspects[part].rank() < suspicionIncidents {
 			continue
 		}
@@ -343,7 +343,7 @@
 		tr.lastSuccess[scope] = now
 	}
 	for _, id := range parts {
-		tr.clear(partKey(id), now)
+		tr.clear(PartID(id), now)
 	}
 }
 
@@ -352,7 +352,7 @@
 	defer tr.publishChanges()
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.clear(partKey(part), tr.opts.Clock.Now())
+	tr.clear(PartID(part), tr.opts.Clock.Now())
 }
 
 // Release clears a part by an operator's order.
@@ -360,7 +360,7 @@
 	defer tr.publishChanges()
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	id := partKey(part)
+	id := PartID(part)
 	if su := tr.suspects[id]; su != nil && su.verdict != nil {
 		su.verdict.ByOperator = false
 	}
@@ -390,9 +390,10 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.opts.Clock.Now()
-	id := partKey(part)
+	id := PartID(part)
 	su := tr.suspect(id)
-	ve := Verdict{Part: id, Crashes: len(su.crashes), Strikes: maxStrikes, LastCrash: now, Reporters: []string{tr.opts.Host}, ByOperator: true}
+	ve := NewOperatorVerdict(id, now)
+	ve.Crashes, ve.Reporters = len(su.crashes), []string{tr.opts.Host}
 	tr.setVerdict(su, ve, now)
 }
 
@@ -403,7 +404,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.opts.Clock.Now()
-	ve.Part = partKey(ve.Part)
+	ve.Part = PartID(ve.Part)
 	ve.Strikes = min(max(ve.Strikes, 1), maxStrikes)
 	if ve.LastCrash.After(now) {
 		ve.LastCrash = now
@@ -456,7 +457,7 @@
 	if len(all) < maxVerdicts {
 		return
 	}
-	tr.suspects[slices.MaxFunc(all, compareVerdicts).Part].verdict = nil
+	tr.suspects[slices.MaxFunc(all, CompareVerdicts).Part].verdict = nil
 }
 
 // Verdicts returns the blocked parts, the strongest first.
@@ -475,7 +476,7 @@
 			out = append(out, ve)
 		}
 	}
-	slices.SortFunc(out, compareVerdicts)
+	slices.SortFunc(out, CompareVerdicts)
 	return out
 }
 
@@ -624,13 +625,13 @@
 func partKeys(ids []string) []string {
 	out := make([]string, len(ids))
 	for i, id := range ids {
-		out[i] = partKey(id)
+		out[i] = PartID(id)
 	}
 	return out
 }
 
-// partKey returns the identifier of a part, or a hash of a long one.
-func partKey(id string) string {
+// PartID returns the identifier of a part, or a hash of a long one.
+func PartID(id string) string {
 	if len(id) <= maxPartIDBytes {
 		return id
 	}
--- a/internal/verdicts/record.go
+++ b/internal/verdicts/record.go
@@ -12,8 +12,13 @@
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 )
 
-// keyHexDigits is the length of the hash in the key of an item.
-const keyHexDigits = 32
+const (
+	// Prefix is the prefix of the keys that hosts and operators use.
+	Prefix = "bergamotway/quarantine/"
+
+	// keyHexDigits is the length of the hash in the key of an item.
+	keyHexDigits = 32
+)
 
 // record is the value of an item. Parts are percent-encoded, as identifiers may hold any bytes.
 type record struct {
--- a/programs/bergamotctl/main.go
+++ b/programs/bergamotctl/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/bergamotway/bergamotway/internal/configuration"
 	"github.com/bergamotway/bergamotway/internal/keyvalue"
+	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/settings"
 )
 
@@ -51,6 +52,7 @@
 		Commands: []*cli.Command{
 			applyCommand(), showCommand(), classCommand(), teamCommand(), modelCommand(), endpointCommand(), zoneCommand(),
 			hostCommand(), rolloutCommand(), providerCommand(), bookingCommand(), statusCommand(), watchCommand(),
+			quarantineCommand(),
 		},
 	}
 }
@@ -82,6 +84,7 @@
 		conflict       *configuration.ConflictError
 		outcomeUnknown *configuration.OutcomeUnknownError
 		waitErr        *waitTimeoutError
+		unavailable    *metastore.UnavailableError
 	)
 	switch {
 	case errors.As(err, &usage), errors.As(err, &invalid), errors.As(err, &faults), errors.As(err, &fileErr):
@@ -90,7 +93,7 @@
 		return exitNotFound
 	case errors.As(err, &conflict):
 		return exitConflict
-	case errors.As(err, &outcomeUnknown):
+	case errors.As(err, &outcomeUnknown), errors.As(err, &unavailable) && unavailable.IsUncertain():
 		return exitOutcomeUnknown
 	case errors.As(err, &waitErr):
 		return exitWaitTimeout
