quarantine: send the time of a response with the parts that it clears

Cause: the announcement that a part is cleared had no time. It is repeated for 2 s, cleared crashes that came after the response as well, and a host that had cleared something announced it again, so that two hosts kept each other from counting.

Change: an announcement has the age of the response. Only crashes up to then are removed, and it is never dated anew.

--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -69,7 +69,9 @@
 			CrashID: pc.ID, Service: pc.Scope, Reporter: pc.Reporter, AgeUs: now.Sub(pc.DetectedAt).Microseconds(), Parts: pc.Parts,
 		})
 	}
-	dg.ClearedParts = cleared
+	for _, cl := range cleared {
+		dg.ClearedParts = append(dg.ClearedParts, peering.ClearedPart{Part: cl.Part, AgeUs: now.Sub(cl.At).Microseconds()})
+	}
 	for _, ve := range verdicts {
 		dg.PartVerdicts = append(dg.PartVerdicts, peering.PartVerdict{
 			Part: ve.Part, Crashes: ve.Crashes, Strikes: ve.Strikes, AgeUs: now.Sub(ve.LastCrash).Microseconds(),
@@ -90,8 +92,8 @@
 			ID: pc.CrashID, Scope: pc.Service, Reporter: pc.Reporter, DetectedAt: before(pc.AgeUs), Parts: pc.Parts,
 		})
 	}
-	for _, part := range dg.ClearedParts {
-		no.parts.Clear(part)
+	for _, cp := range dg.ClearedParts {
+		no.parts.Clear(quarantine.Cleared{Part: cp.Part, At: before(cp.AgeUs)})
 	}
 	for _, pv := range dg.PartVerdicts {
 		no.parts.Merge(quarantine.Verdict{
--- a/internal/peering/parts_test.go
+++ b/internal/peering/parts_test.go
@@ -18,7 +18,7 @@
 			pc.Parts = append(pc.Parts, fmt.Sprintf("%04x%04x", i, part))
 		}
 		dg.PartCrashes = append(dg.PartCrashes, pc)
-		dg.ClearedParts = append(dg.ClearedParts, fmt.Sprintf("%04x%04x", index, i))
+		dg.ClearedParts = append(dg.ClearedParts, peering.ClearedPart{Part: fmt.Sprintf("%04x%04x", index, i)})
 		dg.PartVerdicts = append(dg.PartVerdicts, peering.PartVerdict{Part: fmt.Sprintf("%04x%04x", index, i), Crashes: i, Strikes: 1, AgeUs: 1, Reporters: []string{ho.name, "other"}})
 	}
 	dg.PartVerdicts = append(dg.PartVerdicts, peering.PartVerdict{Part: "strong", Crashes: 9, Strikes: 2, AgeUs: int64(1000 + index)})
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -115,6 +115,13 @@
 		Companions []string `json:"w,omitempty"`
 	}
 
+	// ClearedPart reports a response to a request with a part that was running during a crash.
+	ClearedPart struct {
+		Part string `json:"p"`
+		// AgeUs is the time since the response, in microseconds.
+		AgeUs int64 `json:"a"`
+	}
+
 	// Digest is the message that a host sends to other hosts.
 	Digest struct {
 		// Tier is the kind of digest.
@@ -157,7 +164,7 @@
 		// PartCrashes lists the parts that were running during recent crashes, ClearedParts the parts that have been
 		// answered since, and PartVerdicts the blocked ones.
 		PartCrashes  []PartCrash   `json:"i,omitempty"`
-		ClearedParts []string      `json:"j,omitempty"`
+		ClearedParts []ClearedPart `json:"j,omitempty"`
 		PartVerdicts []PartVerdict `json:"v,omitempty"`
 	}
 
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -140,7 +140,7 @@
 	type crashKey struct{ crash, reporter string }
 	crashes := make(map[crashKey]PartCrash)
 	verdicts := make(map[string]PartVerdict)
-	cleared := make(map[string]bool)
+	cleared := make(map[string]ClearedPart)
 	for _, dg := range digests {
 		for _, pc := range dg.PartCrashes {
 			key := crashKey{pc.CrashID, pc.Reporter}
@@ -153,8 +153,10 @@
 				verdicts[pv.Part] = pv
 			}
 		}
-		for _, part := range dg.ClearedParts {
-			cleared[part] = true
+		for _, cp := range dg.ClearedParts {
+			if known, ok := cleared[cp.Part]; !ok || cp.AgeUs < known.AgeUs {
+				cleared[cp.Part] = cp
+			}
 		}
 	}
 	out.PartCrashes = slices.SortedFunc(maps.Values(crashes), func(a, b PartCrash) int { return cmp.Compare(a.AgeUs, b.AgeUs) })
@@ -168,7 +170,7 @@
 	}
 	out.PartVerdicts = slices.SortedFunc(maps.Values(verdicts), comparePartVerdicts)
 	out.PartVerdicts = out.PartVerdicts[:min(len(out.PartVerdicts), maxMergedVerdicts)]
-	out.ClearedParts = slices.Sorted(maps.Keys(cleared))
+	out.ClearedParts = slices.SortedFunc(maps.Values(cleared), func(a, b ClearedPart) int { return cmp.Compare(a.AgeUs, b.AgeUs) })
 	out.ClearedParts = out.ClearedParts[:min(len(out.ClearedParts), maxClearedParts)]
 }
 
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -115,7 +115,7 @@
 	digest struct {
 		from     int
 		crashes  []quarantine.PartCrash
-		cleared  []string
+		cleared  []quarantine.Cleared
 		verdicts []quarantine.Verdict
 		sentAt   time.Duration
 	}
@@ -415,7 +415,7 @@
 	out := digest{from: -1}
 	crashes := make(map[string]int)
 	verdicts := make(map[string]int)
-	cleared := make(map[string]bool)
+	cleared := make(map[string]int)
 	for _, dg := range digests {
 		for _, cr := range dg.crashes {
 			cr.DetectedAt = cr.DetectedAt.Add(-dg.sentAt.Abs())
@@ -436,10 +436,15 @@
 				out.verdicts[i] = ve
 			}
 		}
-		for _, part := range dg.cleared {
-			if !cleared[part] {
-				cleared[part] = true
-				out.cleared = append(out.cleared, part)
+		for _, cl := range dg.cleared {
+			cl.At = cl.At.Add(-dg.sentAt.Abs())
+			i, ok := cleared[cl.Part]
+			switch {
+			case !ok:
+				cleared[cl.Part] = len(out.cleared)
+				out.cleared = append(out.cleared, cl)
+			case cl.At.After(out.cleared[i].At):
+				out.cleared[i] = cl
 			}
 		}
 	}
@@ -463,8 +468,9 @@
 		cr.DetectedAt = cr.DetectedAt.Add(shift)
 		tr.RecordCrash(cr)
 	}
-	for _, part := range dg.cleared {
-		tr.Clear(part)
+	for _, cl := range dg.cleared {
+		cl.At = cl.At.Add(shift)
+		tr.Clear(cl)
 	}
 	for _, ve := range dg.verdicts {
 		ve.LastCrash = ve.LastCrash.Add(shift)
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -86,6 +86,13 @@
 		Parts []string
 	}
 
+	// Cleared states that a response showed a part to be sound.
+	Cleared struct {
+		Part string
+		// At is when the response began.
+		At time.Time
+	}
+
 	// BlockedError reports a request that must not be sent because of one of its parts.
 	BlockedError struct {
 		part      string
@@ -115,7 +122,8 @@
 		trying bool
 		// triedSlot is one more than the last slot in which this host tried the blocked part.
 		triedSlot int64
-		// clearedAt is when a response showed last that the part is sound, announcedAt when this host told the others.
+		// clearedAt is when a response showed last that the part is sound, announcedAt when this host last began to
+		// tell the others again.
 		clearedAt, announcedAt time.Time
 	}
 )
--- a/internal/quarantine/parttracker.go
+++ b/internal/quarantine/parttracker.go
@@ -347,12 +347,15 @@
 	}
 }
 
-// Clear clears a part after a response at another host.
-func (tr *PartTracker) Clear(part string) {
+// Clear clears a part after a response at another host. Crashes after that response still count.
+func (tr *PartTracker) Clear(cl Cleared) {
 	defer tr.publishChanges()
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	tr.clear(PartID(part), tr.opts.Clock.Now())
+	if now := tr.opts.Clock.Now(); cl.At.After(now) {
+		cl.At = now
+	}
+	tr.clear(PartID(cl.Part), cl.At)
 }
 
 // Release clears a part by an operator's order.
@@ -367,18 +370,16 @@
 	tr.clear(id, tr.opts.Clock.Now())
 }
 
-func (tr *PartTracker) clear(id string, now time.Time) {
+// clear removes the crashes of a part up to the time of a response, and its verdict if the last crash is older.
+func (tr *PartTracker) clear(id string, at time.Time) {
+	now := tr.opts.Clock.Now()
 	su := tr.suspects[id]
 	if su == nil || su.verdict != nil && su.verdict.ByOperator && now.Before(su.verdict.BlockedUntil()) {
 		return
 	}
-	hadVerdict := su.verdict != nil
-	if hadVerdict || len(su.crashes) > 0 {
-		su.announcedAt = now
-	}
-	su.clearedAt = now
-	clear(su.crashes)
-	if hadVerdict {
+	su.clearedAt = later(su.clearedAt, at)
+	maps.DeleteFunc(su.crashes, func(_ string, cr *partCrash) bool { return !cr.detectedAt.After(at) })
+	if su.verdict != nil && !su.verdict.LastCrash.After(at) {
 		tr.noteChange(PartCleared, *su.verdict, now)
 		su.verdict = nil
 	}
@@ -482,7 +483,7 @@
 
 // RecentChanges returns what this host tells the others: the crashes that it detected in the last seconds, the
 // newest first, the parts that were cleared lately, and the strongest verdicts.
-func (tr *PartTracker) RecentChanges() (crashes []PartCrash, cleared []string, verdicts []Verdict) {
+func (tr *PartTracker) RecentChanges() (crashes []PartCrash, cleared []Cleared, verdicts []Verdict) {
 	verdicts = tr.Verdicts()
 	if tr.suspectCount.Load() == 0 {
 		return nil, nil, nil
@@ -500,10 +501,11 @@
 	}
 	slices.SortFunc(crashes, func(a, b PartCrash) int { return b.DetectedAt.Compare(a.DetectedAt) })
 	for id, su := range tr.suspects {
-		if !su.announcedAt.IsZero() && now.Sub(su.announcedAt) < recentChangePeriod {
-			cleared = append(cleared, id)
+		if !su.clearedAt.IsZero() && now.Sub(later(su.clearedAt, su.announcedAt)) < recentChangePeriod {
+			cleared = append(cleared, Cleared{Part: id, At: su.clearedAt})
 		}
 	}
+	slices.SortFunc(cleared, func(a, b Cleared) int { return b.At.Compare(a.At) })
 	return boundParts(crashes), cleared[:min(len(cleared), maxRecentChanges)],
 		verdicts[:min(len(verdicts), maxSentVerdicts)]
 }
@@ -622,6 +624,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func partKeys(ids []string) []string {
 	out := make([]string, len(ids))
 	for i, id := range ids {
--- a/internal/quarantine/parttracker_test.go
+++ b/internal/quarantine/parttracker_test.go
@@ -89,7 +89,7 @@
 	crashTimes(t, tr, ck, 2, time.Second)
 	succeed(t, tr, "deadly")
 	_, cleared, _ := tr.RecentChanges()
-	require.Contains(t, cleared, "deadly")
+	require.Contains(t, cleared, quarantine.Cleared{Part: "deadly", At: ck.Now()})
 	crashTimes(t, tr, ck, 2, time.Second)
 	require.Empty(t, blockedPart(tr, "deadly"))
 	require.Empty(t, tr.Verdicts())
@@ -180,11 +180,11 @@
 	require.Equal(t, []quarantine.Verdict{{Part: "a", Crashes: 6, Strikes: 2, LastCrash: ck.Now().Add(-time.Second), Reporters: []string{"h1", "h2"}}}, tr.Verdicts())
 	old := tr.Verdicts()[0]
 	ck.Advance(3 * time.Second)
-	tr.Clear("a")
+	tr.Clear(quarantine.Cleared{Part: "a", At: ck.Now()})
 	tr.Merge(old)
 	require.Empty(t, tr.Verdicts())
 	_, cleared, _ := tr.RecentChanges()
-	require.Equal(t, []string{"a"}, cleared)
+	require.Equal(t, []quarantine.Cleared{{Part: "a", At: ck.Now()}}, cleared)
 	tr.Block("a")
 	require.Equal(t, "a", blockedPart(tr, "a"))
 }
@@ -193,7 +193,7 @@
 	tr, ck := newParts()
 	ve := quarantine.Verdict{Part: "a", Strikes: 1, LastCrash: ck.Now(), ByOperator: true}
 	require.True(t, tr.Merge(ve))
-	tr.Clear("a")
+	tr.Clear(quarantine.Cleared{Part: "a", At: ck.Now()})
 	require.Equal(t, "a", blockedPart(tr, "a"))
 	ck.Advance(31 * time.Second)
 	succeed(t, tr, "a")
@@ -242,3 +242,43 @@
 	require.Len(t, sent, 32)
 	require.Equal(t, "deadly", sent[0].Part)
 }
+
+// Guards against a response whose announcement, repeated for two seconds, cleared the crashes after it.
+func TestPartThatCrashesAfterAResponseIsBlocked(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	hosts := func() []string { return []string{"a", "b"} }
+	var fleet []*quarantine.PartTracker
+	for _, name := range hosts() {
+		fleet = append(fleet, quarantine.NewPartTracker(quarantine.PartOptions{Clock: ck, Host: name, Hosts: hosts}))
+	}
+	sent := 0
+	for step := range 1200 {
+		tr, other := fleet[step/20%2], fleet[(step/20+1)%2]
+		if ru, err := tr.Admit(service, []string{"deadly"}); step%20 == 0 && err == nil {
+			if sent++; sent == 2 {
+				ru.Succeeded()
+			} else {
+				ru.Crashed(fmt.Sprint("crash-", step), ck.Now())
+			}
+			ru.End()
+		}
+		ru, err := other.Admit(service, []string{"sound"})
+		require.NoError(t, err)
+		ru.Succeeded()
+		ru.End()
+		ck.Advance(50 * time.Millisecond)
+		for i, from := range fleet {
+			crashes, cleared, verdicts := from.RecentChanges()
+			for _, pc := range crashes {
+				fleet[1-i].RecordCrash(pc)
+			}
+			for _, cl := range cleared {
+				fleet[1-i].Clear(cl)
+			}
+			for _, ve := range verdicts {
+				fleet[1-i].Merge(ve)
+			}
+		}
+	}
+	require.LessOrEqual(t, sent, 8)
+}
--- a/internal/verdicts/host_test.go
+++ b/internal/verdicts/host_test.go
@@ -228,12 +228,12 @@
 }
 
 // receive merges a digest of another host, which does not say who has set a verdict.
-func (ho *host) receive(from *host, cleared []string, list []quarantine.Verdict) {
+func (ho *host) receive(from *host, cleared []quarantine.Cleared, list []quarantine.Verdict) {
 	if ho == from {
 		return
 	}
-	for _, part := range cleared {
-		ho.tracker.Clear(part)
+	for _, cl := range cleared {
+		ho.tracker.Clear(cl)
 	}
 	for _, ve := range list {
 		ve.ByOperator = false
--- a/internal/verdicts/records_test.go
+++ b/internal/verdicts/records_test.go
@@ -66,7 +66,7 @@
 	hs.all[0].tracker.Merge(hs.verdict("deadly", 1))
 	hs.run(5 * time.Second)
 	require.Equal(t, []string{"deadly"}, hs.st.parts(t))
-	hs.all[1].tracker.Clear("deadly")
+	hs.all[1].tracker.Clear(quarantine.Cleared{Part: "deadly", At: hs.ck.Now()})
 	hs.run(time.Minute)
 	require.Empty(t, hs.st.parts(t))
 	hs.requireVerdicts()
@@ -132,7 +132,7 @@
 	stale := hs.verdict("deadly", 2)
 	hs.run(2 * time.Second)
 	hs.all[0].isCutOff = true
-	hs.all[0].tracker.Clear("deadly")
+	hs.all[0].tracker.Clear(quarantine.Cleared{Part: "deadly", At: hs.ck.Now()})
 	hs.st.write(t, stale)
 	hs.run(3 * time.Second)
 	_, conflicts := hs.st.counts()
@@ -148,7 +148,7 @@
 	stale := hs.verdict("deadly", 1)
 	hs.ck.Advance(5 * time.Second)
 	hs.all[0].tracker.RecordCrash(quarantine.PartCrash{ID: "first", Reporter: "h2", Scope: service, DetectedAt: hs.ck.Now(), Parts: []string{"deadly"}})
-	hs.all[0].tracker.Clear("deadly")
+	hs.all[0].tracker.Clear(quarantine.Cleared{Part: "deadly", At: hs.ck.Now()})
 	hs.st.write(t, stale)
 	hs.run(3 * time.Second)
 	require.Empty(t, hs.st.parts(t))
@@ -160,19 +160,19 @@
 	hs := startHosts(t, 3)
 	hs.all[0].tracker.Merge(hs.verdict("deadly", 1))
 	hs.run(5 * time.Second)
-	hs.all[1].tracker.Clear("deadly")
+	hs.all[1].tracker.Clear(quarantine.Cleared{Part: "deadly", At: hs.ck.Now()})
 	hs.run(step)
 	ve := quarantine.Verdict{Part: "deadly", Strikes: 5, LastCrash: hs.ck.Now(), ByOperator: true}
 	hs.st.write(t, ve)
 	hs.run(step)
-	hs.all[2].tracker.Clear("deadly")
+	hs.all[2].tracker.Clear(quarantine.Cleared{Part: "deadly", At: hs.ck.Now()})
 	hs.run(10 * time.Second)
 	hs.requireVerdicts("deadly")
 	commits, _ := hs.st.counts()
 	require.Equal(t, 1, commits, "hosts do not rewrite what an operator has set")
 	hs.stopAll()
 	hs.start()
-	hs.all[0].tracker.Clear("deadly")
+	hs.all[0].tracker.Clear(quarantine.Cleared{Part: "deadly", At: hs.ck.Now()})
 	hs.requireVerdicts("deadly")
 	hs.st.erase("deadly")
 	hs.run(5 * time.Second)
@@ -231,7 +231,7 @@
 func TestRecordHoldsAnyPart(t *testing.T) {
 	now := clockwork.NewFakeClock().Now().Truncate(time.Millisecond)
 	for _, part := range []string{"aa01", "a/b c%", "\xff\x00é\n", "\u2028"} {
-		want := quarantine.Verdict{Part: part, Crashes: 3, Strikes: 2, LastCrash: now.Add(-time.Minute), Reporters: []string{"h1"}, ByOperator: true}
+		want := quarantine.Verdict{Part: part, Crashes: 3, Strikes: 2, LastCrash: now.Add(-time.Minute), Reporters: []string{"h1"}, Companions: []string{part + "2"}, ByOperator: true}
 		value, err := verdicts.Encode(want)
 		require.NoError(t, err)
 		got, err := verdicts.Decode(value, now)
