gateway: see a crash that ends a stream before its first event

Cause: the end of a stream without length counted as complete also before its first event, and empty events and comments counted as the beginning of the answer.

Change: a stream that ends without an event is broken if its endpoint refuses connections then, and only an event with data or an identifier shows that the parts of its request are sound.

TestResponseThatEndsWithItsConnectionIsDelivered counts the connections on which a request was read, as the new check opens one without; a reused connection still fails it.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -168,7 +168,7 @@
 	fw.recordFetches(pl)
 	pl.delivery.Remaining = rq.deadline.Sub(gw.opts.Clock.Now())
 	pl.delivery.LastEventID = fw.lastEventID
-	target := attempt.Target{ID: pl.view.ID, Address: pl.view.Address, StartTimeMs: pl.view.StartTimeMs}
+	target := pl.target()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if left, ok := gw.opts.WeightsTimeLeft(rq.Model, pl.delivery.WeightVersion); ok && pl.delivery.WeightVersion > 0 {
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -28,16 +28,18 @@
 
 const deadlyPart = "dead"
 
-// fragileEndpoint streams one event in response to each request. A request whose prompt holds deadlyPart stops it.
+// fragileEndpoint streams one event in response to each request. A request whose prompt holds deadlyPart stops it, after
+// the given response.
 type fragileEndpoint struct {
-	listener net.Listener
-	stop     func()
+	listener     net.Listener
+	stop         func()
+	lastResponse string
 }
 
-func startFragileEndpoint(t *testing.T) *fragileEndpoint {
+func startFragileEndpoint(t *testing.T, lastResponse string) *fragileEndpoint {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	fe := &fragileEndpoint{listener: ln, stop: sync.OnceFunc(func() { _ = ln.Close() })}
+	fe := &fragileEndpoint{listener: ln, lastResponse: lastResponse, stop: sync.OnceFunc(func() { _ = ln.Close() })}
 	t.Cleanup(fe.stop)
 	go func() {
 		for {
@@ -60,6 +62,9 @@
 	}
 	if strings.Contains(rq.Header.Get("X-Prompt-Prefix"), deadlyPart) {
 		fe.stop()
+		if fe.lastResponse != "" {
+			_, _ = fmt.Fprintf(cn, fe.lastResponse, rq.Header.Get("X-Request-Id"))
+		}
 		return
 	}
 	_, _ = fmt.Fprintf(cn, "HTTP/1.1 200 OK\r\n"+sealedHeader+"Connection: close\r\n\r\nid: 1\ndata: x\n\n", rq.Header.Get("X-Request-Id"))
@@ -100,9 +105,15 @@
 
 // addEndpoints starts endpoints.
 func (fx *partFixture) addEndpoints(t *testing.T, count int) {
+	t.Helper()
+	fx.addRespondingEndpoints(t, count, "")
+}
+
+// addRespondingEndpoints starts endpoints that write a response before they stop.
+func (fx *partFixture) addRespondingEndpoints(t *testing.T, count int, lastResponse string) {
 	t.Helper()
 	for range count {
-		fe := startFragileEndpoint(t)
+		fe := startFragileEndpoint(t, lastResponse)
 		id := fe.listener.Addr().String()
 		fx.fl.Put(fleet.Entry{ID: id, Service: "engines", Address: id, Zone: "here", Slots: 8})
 	}
@@ -194,3 +205,31 @@
 	}
 	require.Zero(t, fx.parts.SuspectCount())
 }
+
+// Guards against a crash that looked like the end of a stream, or like its first event.
+func TestCrashBeforeTheFirstEventAccusesPartInEachForm(t *testing.T) {
+	const undelimited = "HTTP/1.1 200 OK\r\n" + sealedHeader + "\r\n"
+	const chunked = "HTTP/1.1 200 OK\r\n" + sealedHeader + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, lastResponse := range map[string]string{
+		"header without length": undelimited,
+		"blank line":            undelimited + "\n",
+		"comment":               undelimited + ": alive\n\n",
+		"half an event":         undelimited + "id: 1\nda",
+		"chunked header":        chunked,
+		"chunked blank line":    chunked + "1\r\n\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			fx := newPartFixture(t, 1)
+			fx.addRespondingEndpoints(t, 12, lastResponse)
+			forwarded := 0
+			for range 8 {
+				if _, body := fx.send("team", deadlyPart); body != "crashes-endpoints\n" {
+					forwarded++
+				}
+				fx.ck.Advance(400 * time.Millisecond)
+				fx.send("team", "other")
+			}
+			require.LessOrEqual(t, forwarded, 5)
+		})
+	}
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/cachedir"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/placement"
@@ -64,6 +65,11 @@
 	EstimatedTime time.Duration `json:"-"`
 }
 
+// target returns the endpoint of the attempt.
+func (pl plan) target() attempt.Target {
+	return attempt.Target{ID: pl.view.ID, Address: pl.view.Address, StartTimeMs: pl.view.StartTimeMs}
+}
+
 func (pl plan) logFields() logrus.Fields {
 	sum := pl.view.TotalLoad()
 	return logrus.Fields{
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,8 +25,10 @@
 
 var (
 	eventIDField  = []byte("id:")
+	dataField     = []byte("data:")
 	errEventOrder = forwardError("the event ID does not follow the last one of the stream")
 	errEventSize  = forwardError("the event exceeds the size limit")
+	errNoEvent    = forwardError("the stream ended before its first event, and the endpoint has stopped")
 	errEventEnd   = forwardError("the stream ended within an event")
 )
 
@@ -38,9 +40,12 @@
 	}
 	br := bufio.NewReader(rs)
 	rc := http.NewResponseController(fw.w)
+	begun := false
 	for {
 		event, err := readEvent(br)
 		switch {
+		case errors.Is(err, io.EOF) && len(event) == 0 && !begun && fw.hasEndpointStopped(ctx, pl):
+			return fw.retryOrGiveUp(rs.BrokenError(errNoEvent))
 		case errors.Is(err, io.EOF) && len(event) == 0:
 			fw.writeHeader(rs)
 			fw.recordStreamEnd(pl)
@@ -59,7 +64,10 @@
 		if hasID && !fw.isNextEvent(id) {
 			return fw.retryOrGiveUp(errEventOrder)
 		}
-		fw.partRun.Succeeded()
+		if hasID || hasData(event) {
+			begun = true
+			fw.partRun.Succeeded()
+		}
 		if !fw.headerWritten {
 			fw.gw.opts.Meter.ObserveFirstToken(fw.rq.route.Name, fw.gw.opts.Clock.Now().Sub(fw.rq.arrived))
 		}
@@ -87,6 +95,11 @@
 	}
 }
 
+// hasEndpointStopped reports whether the endpoint of an attempt accepts no connections any more.
+func (fw *forwarder) hasEndpointStopped(ctx context.Context, pl plan) bool {
+	return fw.gw.opts.Pool.RefusesConnections(ctx, pl.target())
+}
+
 // writeHeader writes the response header of the first endpoint that streams, once.
 func (fw *forwarder) writeHeader(rs *attempt.Response) {
 	if fw.headerWritten {
@@ -147,6 +160,16 @@
 	}
 }
 
+// hasData reports whether an event has a data field. Empty events and comments only keep a connection alive.
+func hasData(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if bytes.HasPrefix(line, dataField) {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the ID of an event; ok is false if it has none.
 func eventID(event []byte) (id string, ok bool) {
 	for line := range bytes.Lines(event) {
--- a/internal/gateway/undelimited_test.go
+++ b/internal/gateway/undelimited_test.go
@@ -25,7 +25,7 @@
 type (
 	// scriptedEndpoint sends the parts of its response to each request and closes the connection, with a reset
 	// if isReset is set. Before each part but the first, and before the end, it receives from proceed unless
-	// that is nil.
+	// that is nil. It counts the connections on which it has read a request.
 	scriptedEndpoint struct {
 		listener net.Listener
 		parts    []string
@@ -53,7 +53,6 @@
 			if err != nil {
 				return
 			}
-			se.opened.Add(1)
 			go se.serve(cn)
 		}
 	}()
@@ -65,6 +64,7 @@
 	if err != nil {
 		return
 	}
+	se.opened.Add(1)
 	for i, part := range se.parts {
 		if i > 0 && se.proceed != nil {
 			<-se.proceed
