quarantine: block a part of nearly all requests of a service

Cause: a part was blocked only if this host had seen a response of the service since the first crash. Change: eight crashes are enough without a response.

--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -577,6 +577,23 @@
 	}
 }
 
+// Guards against a service whose requests nearly all hold the part, so that a host sees no response of it.
+func TestFleetBlocksPartOfNearlyAllRequests(t *testing.T) {
+	t.Parallel()
+	for _, share := range []float64{0.8, 0.9, 1} {
+		t.Run(fmt.Sprint(share), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(5) {
+				sc := fleetScenarios()["share-5"]
+				sc.share, sc.rate, sc.seed = share, 20, seed
+				sc.deadlyUntil, sc.sentUntil, sc.end = 24*time.Second, 24*time.Second, 26*time.Second
+				oc := simulate(sc)
+				assert.LessOrEqual(t, oc.lateAttempts("deadly-0"), 3, "seed %d", seed)
+			}
+		})
+	}
+}
+
 // Checks the simulation: without evidence per part it shows the failure.
 func TestFleetKeepsCrashingWithFingerprintsOnly(t *testing.T) {
 	t.Parallel()
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -30,6 +30,9 @@
 	blockIncidents       = 3
 	blockIncidentsOfMany = 2
 	blockCrashes         = 5
+	// blockCrashesAlone is the number of crashes after which a part is blocked although the service has responded to
+	// no other request since the first: nearly all its requests may hold the part.
+	blockCrashesAlone = 8
 
 	// firstBlock is how long a part is blocked at first. Each trial that crashes an endpoint multiplies it by
 	// blockGrowth, up to maxBlock.
--- a/internal/quarantine/parttracker.go
+++ b/internal/quarantine/parttracker.go
@@ -271,7 +271,7 @@
 }
 
 // judge blocks a part if there is enough evidence against it. Without a response to other requests of the service
-// since the first crash, the service as a whole may be the cause.
+// since the first crash, the service as a whole may be the cause, so that more crashes are needed.
 func (tr *PartTracker) judge(id string, su *partSuspect, now time.Time) {
 	if su.verdict != nil || len(su.crashes) < blockIncidents {
 		return
@@ -281,7 +281,7 @@
 	if incidents < blockIncidents && (incidents < blockIncidentsOfMany || len(crashes) < blockCrashes) {
 		return
 	}
-	if !tr.lastSuccess[crashes[0].scope].After(crashes[0].detectedAt) {
+	if len(crashes) < blockCrashesAlone && !tr.lastSuccess[crashes[0].scope].After(crashes[0].detectedAt) {
 		return
 	}
 	// All parts with the same evidence are blocked together; otherwise the first one would explain the others' crashes.
