quarantine, weights, gateway: split files that had grown large

No change of behaviour: whole functions move. The tracker of parts is in files for admission, evidence, exchange with other hosts and retention, the targets in files for records and checkpoints, and how the gateway ends a request in one of its own.

--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -4,9 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -197,43 +194,6 @@
 	return nil
 }
 
-func (ta *Targets) applyCheckpoint(it metastore.Item) error {
-	var sc storedCheckpoint
-	if err := json.Unmarshal(it.Value, &sc); err != nil {
-		return errors.Wrap(err, "weights: decode checkpoint")
-	}
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	if it.Revision > ta.checkpoint.itemRevision {
-		ta.checkpoint = checkpoint{
-			itemRevision: it.Revision, revision: sc.Revision, at: ta.fromUnixMilli(sc.AtMs), seenAt: ta.opts.SinceBoot(),
-		}
-	}
-	return nil
-}
-
-// mergeRecord merges a stored record: of two times for a version the earlier one counts, unless this host knows
-// that the version was not selected yet.
-func (ta *Targets) mergeRecord(name string, it metastore.Item) error {
-	var rec record
-	if err := json.Unmarshal(it.Value, &rec); err != nil {
-		return errors.Wrapf(err, "weights: decode record of model %q", name)
-	}
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	mo := ta.getOrCreate(name)
-	mo.revision = it.Revision
-	clear(mo.recorded)
-	for version, ms := range rec {
-		mo.recorded[version] = true
-		at := max(ta.fromUnixMilli(ms), mo.notBefore[version])
-		if known, ok := mo.since[version]; !ok || at < known {
-			mo.since[version] = at
-		}
-	}
-	return nil
-}
-
 // fromUnixMilli returns the reading of SinceBoot at a time that a host has stored. Wall clocks differ between
 // hosts; a time in the future counts as now.
 func (ta *Targets) fromUnixMilli(ms int64) time.Duration {
@@ -310,33 +270,6 @@
 	return err == nil
 }
 
-// dueCheckpoint returns the transaction that writes a checkpoint; ok is false if none is due or a target is not
-// recorded yet.
-func (ta *Targets) dueCheckpoint() (tx metastore.Transaction, ok bool) {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	interval := checkpointInterval
-	if ta.checkpoint.itemRevision == 0 {
-		interval = 0
-	}
-	if ta.isInterrupted || ta.opts.SinceBoot()-ta.checkpoint.seenAt < interval+ta.opts.RecordDelay() {
-		return tx, false
-	}
-	for _, mo := range ta.models {
-		if mo.newest > 0 && !mo.recorded[mo.newest] {
-			return tx, false
-		}
-	}
-	value, err := json.Marshal(storedCheckpoint{Revision: ta.confirmedRevision, AtMs: ta.wall.unixMilli(ta.confirmedAt)})
-	if err != nil {
-		return tx, false
-	}
-	return metastore.Transaction{
-		Preconditions: []metastore.Precondition{{Key: ta.opts.CheckpointKey, Revision: ta.checkpoint.itemRevision}},
-		Puts:          []metastore.Put{{Key: ta.opts.CheckpointKey, Value: value}},
-	}, true
-}
-
 // logExpired logs, once for each target, that older weights are no longer used.
 func (ta *Targets) logExpired() {
 	ta.mu.Lock()
@@ -355,41 +288,6 @@
 	}
 }
 
-// pendingRecords returns the records of targets which are not recorded yet and are old enough for this host to do so.
-func (ta *Targets) pendingRecords() []pendingRecord {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	now := ta.opts.SinceBoot()
-	var out []pendingRecord
-	for name, mo := range ta.models {
-		if mo.newest == 0 || mo.recorded[mo.newest] || now-mo.since[mo.newest] < ta.opts.RecordDelay() {
-			continue
-		}
-		versions := slices.Sorted(maps.Keys(mo.since))
-		rec := make(record, maxRecordedVersions)
-		for _, version := range versions[max(0, len(versions)-maxRecordedVersions):] {
-			rec[version] = ta.wall.unixMilli(mo.since[version])
-		}
-		value, err := json.Marshal(rec)
-		if err != nil {
-			continue
-		}
-		key := ta.opts.RecordPrefix + name
-		out = append(out, pendingRecord{model: name, newest: mo.newest, tx: metastore.Transaction{
-			Preconditions: []metastore.Precondition{{Key: key, Revision: mo.revision}},
-			Puts:          []metastore.Put{{Key: key, Value: value}},
-		}})
-	}
-	return out
-}
-
-// markRecorded marks the newest version of a written record as recorded. The target may be newer by now.
-func (ta *Targets) markRecorded(pr pendingRecord) {
-	ta.mu.Lock()
-	defer ta.mu.Unlock()
-	ta.getOrCreate(pr.model).recorded[pr.newest] = true
-}
-
 // getOrCreate returns the versions of a model, and creates them if there are none.
 func (ta *Targets) getOrCreate(name string) *model {
 	mo := ta.models[name]
