--- a/internal/quarantine/parttracker_test.go
+++ b/internal/quarantine/parttracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -282,3 +283,44 @@
 	}
 	require.LessOrEqual(t, sent, 8)
 }
+
+func TestPartOfFullEnginesIsBlocked(t *testing.T) {
+	tr, ck := newParts()
+	for i := range 20 {
+		for reporter := range 12 {
+			var parts []string
+			for k := range 6 {
+				parts = append(parts, fmt.Sprintf("session-%d-%d-%d", i, reporter, k))
+			}
+			if reporter == 11 {
+				parts = append(parts, "deadly")
+			}
+			tr.RecordCrash(quarantine.PartCrash{ID: fmt.Sprint(i), Reporter: fmt.Sprint("h", reporter), Scope: service, DetectedAt: ck.Now(), Parts: parts})
+		}
+		ck.Advance(400 * time.Millisecond)
+		succeed(t, tr, "team")
+	}
+	require.Equal(t, "deadly", blockedPart(tr, "deadly"))
+}
+
+func TestTellingCompanionsApartCostsAtMostThreeCrashes(t *testing.T) {
+	tr, ck := newParts()
+	all := []string{"a", "b", "c", "d", "deadly"}
+	for i := range 5 {
+		tr.RecordCrash(quarantine.PartCrash{ID: fmt.Sprint(i), Reporter: "other", Scope: service, DetectedAt: ck.Now(), Parts: all})
+		ck.Advance(700 * time.Millisecond)
+		succeed(t, tr, "team")
+	}
+	ck.Advance(4 * time.Second)
+	sent := 0
+	for i := range 40 {
+		ck.Advance(500 * time.Millisecond)
+		parts := slices.Delete(slices.Clone(all), i%4, i%4+1)
+		if ru, err := tr.Admit(service, parts); err == nil {
+			sent++
+			ru.Crashed(fmt.Sprint("trial-", i), ck.Now())
+			ru.End()
+		}
+	}
+	require.LessOrEqual(t, sent, 3)
+}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -98,3 +99,56 @@
 	record("c", "host-2", 2000, 2040, 0)
 	require.Equal(t, quarantine.Refused, tr.State(fingerprint))
 }
+
+// relay sends what one host tells the others to another one.
+func relay(from, to *quarantine.Tracker) {
+	crashes, cleared := from.RecentChanges()
+	for _, cr := range crashes {
+		to.RecordReport(cr)
+	}
+	for _, fp := range cleared {
+		to.ClearSuspect(fp)
+	}
+}
+
+func TestHostThatStartsLaterRefusesCrashingRequest(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	first, later := quarantine.NewTracker(ck), quarantine.NewTracker(ck)
+	for i := range 3 {
+		first.RecordCrash(fmt.Sprint(i), fingerprint)
+		ck.Advance(time.Second)
+	}
+	require.Equal(t, quarantine.Refused, first.State(fingerprint))
+	ck.Advance(3 * time.Second)
+	for range 100 {
+		relay(first, later)
+		ck.Advance(50 * time.Millisecond)
+	}
+	require.Equal(t, quarantine.Refused, later.State(fingerprint))
+}
+
+func TestRequestThatCrashesAfterAResponseIsRefused(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	hosts := []*quarantine.Tracker{quarantine.NewTracker(ck), quarantine.NewTracker(ck)}
+	refused := 0
+	for i := range 1200 {
+		host := i / 20 % 2
+		switch {
+		case i%20 != 0:
+		case hosts[host].State(fingerprint) == quarantine.Refused:
+			refused++
+		case i == 20:
+			hosts[host].ClearSuspect(fingerprint)
+		default:
+			hosts[host].RecordReport(quarantine.Report{
+				Fingerprint: fingerprint, CrashID: fmt.Sprint(i), Reporter: fmt.Sprint(host),
+				RunStart: ck.Now().Add(-time.Millisecond), DetectedAt: ck.Now(),
+			})
+		}
+		ck.Advance(25 * time.Millisecond)
+		relay(hosts[0], hosts[1])
+		ck.Advance(25 * time.Millisecond)
+		relay(hosts[1], hosts[0])
+	}
+	require.Greater(t, refused, 50)
+}
