quarantine: keep as many parts of a crash as an engine has requests waiting

Cause: a crash kept 64 parts. An engine runs 128 requests at once, and if more than 64 parts waited there the crashing one could be left out of every crash. Found by a reviewer. Change: a crash keeps 256 parts.

--- a/internal/quarantine/parttracker.go
+++ b/internal/quarantine/parttracker.go
@@ -14,7 +14,7 @@
 	// maxCrashes and maxCrashParts bound the crashes that are kept and the parts accused by each, maxSentParts those
 	// of all crashes in one digest.
 	maxCrashes    = 512
-	maxCrashParts = 64
+	maxCrashParts = 256
 	maxSentParts  = 512
 	// maxSuspects bounds the parts that are kept; if it is reached, the quarter with the weakest evidence is removed.
 	maxSuspects = 4096
