--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -40,6 +40,8 @@
 		requests      []RecordedRequest
 		orders        []WeightOrder
 		weightVersion uint64
+		// limits are the values of Server-Limit in each response.
+		limits []string
 		// crashPart is the ID of the prompt part that crashes the endpoint; empty if none.
 		crashPart string
 		// closed is closed when the endpoint stops. Restart replaces it.
@@ -268,6 +270,14 @@
 	ep.crashPart = id
 }
 
+// AnnounceLimit sets the values of Server-Limit, in requests per second, in all further responses; without a value
+// the header is omitted.
+func (ep *Endpoint) AnnounceLimit(values ...string) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	ep.limits = values
+}
+
 // RecordedRequests returns the executed requests in the order in which they were read.
 func (ep *Endpoint) RecordedRequests() []RecordedRequest {
 	ep.mu.Lock()
@@ -291,6 +301,11 @@
 
 // ServeHTTP serves a client's request or a call of the platform's protocol.
 func (ep *Endpoint) ServeHTTP(w http.ResponseWriter, rq *http.Request) {
+	ep.mu.Lock()
+	if len(ep.limits) > 0 {
+		w.Header()["Server-Limit"] = ep.limits
+	}
+	ep.mu.Unlock()
 	switch rq.URL.Path {
 	case "/report":
 		ep.handleReport(w)
