--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -73,6 +73,7 @@
 		retainedUntil     time.Time
 		drainingSince     time.Time
 		coldBucket        rateBucket
+		limit             requestLimit
 		residentParts     residentSet
 	}
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,8 @@
 		Clock clock.Clock
 		// Host is the name of this host.
 		Host string
+		// OnLimitChange is called when an endpoint names another limit or none any more; nil means that nobody is told.
+		OnLimitChange func(LimitChange)
 	}
 
 	// Fleet is what a host knows of the endpoints. It is safe for concurrent use.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/catalog"
@@ -297,6 +298,18 @@
 	if me.ColdFor > 0 {
 		fl.MarkCold(pl.view.ID, me.ColdFor)
 	}
+	fw.recordLimit(pl, me)
+}
+
+// recordLimit records the limit that an endpoint names. Only a response to a request that ran tells that it names none.
+func (fw *forwarder) recordLimit(pl plan, me ResponseMeta) {
+	fl := fw.gw.opts.Fleet
+	if me.InvalidLimit != "" && fl.RecordInvalidLimit(pl.view.ID) {
+		fw.gw.opts.Log.WithFields(logrus.Fields{"endpoint": pl.view.ID, "value": me.InvalidLimit}).Warn("Endpoint's limit is invalid.")
+	}
+	if me.HasLimit || !me.NotExecuted && me.InvalidLimit == "" {
+		fl.RecordLimit(pl.view.ID, pl.view.StartTimeMs, me.Limit, pl.sentAt)
+	}
 }
 
 // connectionLimit returns how many connections this host may open to each endpoint; zero means no bound.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,11 +139,11 @@
 	no := &Node{
 		st: st, deps: deps, ck: ck, log: lg,
 		peerSeenRevisions: make(map[string]uint64),
-		fleet:             fleet.New(fleet.Options{Clock: ck, Host: st.Name}),
 		pool:              attempt.NewPool(attempt.Options{Clock: ck, OnOpen: deps.Meter.ConnectionOpened}),
 		cache:             cachedir.New(ck),
 		quarantine:        quarantine.NewTracker(ck),
 	}
+	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, OnLimitChange: no.noteLimitChange})
 	no.hostCount.Store(1)
 	no.currentSettings.Store(&st)
 	setMemoryLimit(st.MemoryMiB)
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -50,6 +50,7 @@
 	requests         metric.Int64Counter
 	connections      metric.Int64Counter
 	partQuarantine   metric.Int64Counter
+	endpointLimits   metric.Int64Counter
 	acceleratorTime  metric.Float64Counter
 
 	controlBytesTotal   atomic.Int64
@@ -88,6 +89,7 @@
 		{&me.linkBytes, "bergamotway.link.bytes", "Bytes moved over links of store hosts by direction."},
 		{&me.requests, "bergamotway.requests", "Requests by route and how they ended."},
 		{&me.connections, "bergamotway.connections", "Connections opened to endpoints."},
+		{&me.endpointLimits, "bergamotway.endpoint.limits", "Changes of the limits that endpoints name by kind."},
 		{&me.partQuarantine, "bergamotway.part.quarantine", "Changes of the quarantine of prompt parts by kind."},
 	}
 	for _, c := range counters {
@@ -173,6 +175,15 @@
 	me.partQuarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", kind)))
 }
 
+// EndpointLimitChanged counts a limit that an endpoint has named, or that has ended.
+func (me *Meter) EndpointLimitChanged(ended bool) {
+	kind := "named"
+	if ended {
+		kind = "ended"
+	}
+	me.endpointLimits.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", kind)))
+}
+
 // AddLinkBytes adds bytes transferred over a store host's link; direction is "import" or "export".
 func (me *Meter) AddLinkBytes(direction string, bytes int64) {
 	me.linkBytes.Add(context.Background(), bytes, metric.WithAttributes(attribute.String("direction", direction)))
