--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -54,6 +54,8 @@
 		Cold bool
 		// Loading marks an endpoint that loads new weights or is about to.
 		Loading bool
+		// Limited marks an endpoint that names a limit of requests.
+		Limited bool
 		// Retained marks an endpoint whose entry disappeared during or soon after an outage of the metadata store.
 		Retained bool
 	}
@@ -93,7 +95,7 @@
 	}
 }
 
-func (ep *endpoint) view(now time.Time) View {
+func (fl *Fleet) view(ep *endpoint, now time.Time) View {
 	vw := View{
 		Entry:        ep.entry,
 		OwnLoad:      ep.ownLoad,
@@ -101,6 +103,7 @@
 		FailureShare: ep.failureShare,
 		Cold:         now.Before(ep.coldUntil),
 		Loading:      now.Before(ep.loadingUntil),
+		Limited:      fl.hasLimit(ep, now),
 		Retained:     !ep.retainedUntil.IsZero(),
 	}
 	for _, pl := range ep.peerLoads {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,18 +39,26 @@
 		Clock clock.Clock
 		// Host is the name of this host.
 		Host string
+		// IsRegistered reports whether the other hosts know this one; nil means that they always do. It is called while
+		// the fleet is locked.
+		IsRegistered func() bool
 		// OnLimitChange is called when an endpoint names another limit or none any more; nil means that nobody is told.
 		OnLimitChange func(LimitChange)
 	}
 
 	// Fleet is what a host knows of the endpoints. It is safe for concurrent use.
 	Fleet struct {
-		opts Options
-
-		mu              sync.Mutex
-		endpoints       map[string]*endpoint
-		hosts           []string
-		evacuated       map[string]bool
+		opts     Options
+		hostHash uint64
+
+		mu        sync.Mutex
+		endpoints map[string]*endpoint
+		hosts     []string
+		// hostsVersion counts the changes of hosts.
+		hostsVersion int
+		evacuated    map[string]bool
+		// departed holds the limits of endpoints whose entries disappeared, by identifier, in case they return.
+		departed        map[string]departedLimit
 		synced          bool
 		storeLostAt     time.Time
 		storeRegainedAt time.Time
@@ -87,9 +95,11 @@
 	}
 	return &Fleet{
 		opts:      opts,
+		hostHash:  rendezvous.Hash(opts.Host),
 		endpoints: make(map[string]*endpoint),
 		hosts:     []string{opts.Host},
 		evacuated: make(map[string]bool),
+		departed:  make(map[string]departedLimit),
 	}
 }
 
@@ -167,7 +177,11 @@
 func (fl *Fleet) SetHosts(hosts []string) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
+	if slices.Equal(fl.hosts, hosts) {
+		return
+	}
 	fl.hosts = slices.Clone(hosts)
+	fl.hostsVersion++
 }
 
 // SetEvacuated sets whether an availability zone is evacuated. Endpoints in an evacuated zone get no requests.
@@ -213,11 +227,11 @@
 	out := make([]View, 0, len(fl.endpoints))
 	for id, ep := range fl.endpoints {
 		if fl.isExpired(ep, now) {
-			delete(fl.endpoints, id)
+			fl.delete(id, ep, now)
 			continue
 		}
 		if include(ep) {
-			out = append(out, ep.view(now))
+			out = append(out, fl.view(ep, now))
 		}
 	}
 	slices.SortFunc(out, func(a, b View) int { return strings.Compare(a.ID, b.ID) })
@@ -286,7 +300,7 @@
 	changed := ep == nil || !ep.entry.sameStart(en) || ep.entry.Draining != en.Draining ||
 		!maps.Equal(ep.entry.Models, en.Models)
 	if ep == nil || !ep.entry.sameStart(en) {
-		ep = &endpoint{hash: rendezvous.Hash(en.ID)}
+		ep = &endpoint{hash: rendezvous.Hash(en.ID), limit: fl.takeDepartedLimit(en)}
 		fl.endpoints[en.ID] = ep
 	}
 	if en.Draining && !ep.entry.Draining {
@@ -313,7 +327,7 @@
 	}
 	storeUnreliable := !fl.storeLostAt.IsZero() || now.Sub(fl.storeRegainedAt) < retentionTime && !fl.storeRegainedAt.IsZero()
 	if !storeUnreliable || ep.entry.Draining {
-		delete(fl.endpoints, id)
+		fl.delete(id, ep, now)
 		return
 	}
 	retainedSince := fl.storeRegainedAt
@@ -323,6 +337,14 @@
 	ep.retainedUntil = retainedSince.Add(retentionTime)
 }
 
+// delete deletes an endpoint and keeps the limit that it names.
+func (fl *Fleet) delete(id string, ep *endpoint, now time.Time) {
+	delete(fl.endpoints, id)
+	if fl.hasLimit(ep, now) {
+		fl.keepDepartedLimit(id, ep)
+	}
+}
+
 // isExpired reports whether the retention of an endpoint without an entry has ended.
 func (fl *Fleet) isExpired(ep *endpoint, now time.Time) bool {
 	return !ep.retainedUntil.IsZero() && fl.storeLostAt.IsZero() && now.After(ep.retainedUntil)
--- a/internal/fleet/in_flight.go
+++ b/internal/fleet/in_flight.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Begin counts a request at an endpoint. It returns nil if the endpoint gets no requests any more, or if it
-// is cold and this host has used up its share of the endpoint's cold rate.
+// is cold or names a limit and this host has used up its share of that rate.
 func (fl *Fleet) Begin(id string, load Load, coldRate float64) *InFlight {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -12,10 +12,16 @@
 		return nil
 	}
 	now := fl.opts.Clock.Now()
+	if !fl.isWithinLimit(ep, now) {
+		return nil
+	}
 	if coldRate > 0 && now.Before(ep.coldUntil) &&
 		!ep.coldBucket.allow(now, coldShare(coldRate, id, fl.opts.Host, fl.hosts)) {
 		return nil
 	}
+	if fl.hasLimit(ep, now) {
+		ep.limit.level--
+	}
 	ep.ownLoad.Requests += load.Requests
 	ep.ownLoad.Tokens += load.Tokens
 	ep.ownLoad.PrefillTokens += load.PrefillTokens
--- a/internal/fleet/sample.go
+++ b/internal/fleet/sample.go
@@ -28,24 +28,32 @@
 // Sample returns at most limit endpoints of a service that may get requests. They are chosen by a hash of
 // the request's key, so that hosts with the same view do not all choose the same endpoint. If zone is not
 // empty and has enough endpoints, all but one are in that availability zone. Endpoints that are avoided or
-// load new weights are left out unless there are hardly any others.
+// load new weights are left out unless there are hardly any others, and those of whose limit this host has used up its
+// share always. One that names a limit and takes a request from this host comes on top of the limit of the sample.
 func (fl *Fleet) Sample(service, zone, key string, limit int) []View {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
-	var candidates, avoided []*endpoint
+	var candidates, avoided, limited []*endpoint
 	for id, ep := range fl.endpoints {
 		if fl.isExpired(ep, now) {
-			delete(fl.endpoints, id)
+			fl.delete(id, ep, now)
 			continue
 		}
 		if ep.entry.Service != service || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
 			continue
 		}
+		if !fl.isWithinLimit(ep, now) {
+			continue
+		}
 		if now.Before(ep.avoidUntil) || now.Before(ep.loadingUntil) {
 			avoided = append(avoided, ep)
 			continue
 		}
+		if fl.hasLimit(ep, now) {
+			limited = append(limited, ep)
+			continue
+		}
 		candidates = append(candidates, ep)
 	}
 	if len(candidates)+len(avoided) <= limit {
@@ -77,9 +85,10 @@
 		}
 		candidates = candidates[:limit]
 	}
+	candidates = append(candidates, limited...)
 	out := make([]View, 0, len(candidates))
 	for _, ep := range candidates {
-		out = append(out, ep.view(now))
+		out = append(out, fl.view(ep, now))
 	}
 	slices.SortFunc(out, func(a, b View) int { return strings.Compare(a.ID, b.ID) })
 	return out
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -53,6 +53,16 @@
 	}
 }
 
+// refuseUnplaced refuses a request for which there is no endpoint.
+func (fw *forwarder) refuseUnplaced(remaining time.Duration, cause error) {
+	wait, isLimited := fw.gw.opts.Fleet.UntilWithinLimit(fw.rq.service.Name)
+	if !isLimited || fw.headerWritten || fw.mayHaveRun {
+		fw.refuse("no-endpoint", cause)
+		return
+	}
+	fw.gw.refuse(fw.w, fw.rq, http.StatusServiceUnavailable, "limited", placement.RetryAfterWait(fw.rq.ID, wait, remaining), cause)
+}
+
 // refuseOverdue refuses a request that is expected to miss its target or deadline. If an endpoint may
 // have run it already, its outcome is reported as unknown.
 func (fw *forwarder) refuseOverdue(pl plan, remaining time.Duration, cause error) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -133,7 +133,7 @@
 	defer fw.partRun.End()
 	pl, ok := fw.chooseEndpoint(remaining)
 	if !ok {
-		fw.refuse("no-endpoint", lastErr)
+		fw.refuseUnplaced(remaining, lastErr)
 		return stepDone, nil
 	}
 	if !fw.headerWritten && rq.Model != "" && placement.IsOverdue(pl.expectedTTFT, rq.route.TargetLatency-gw.opts.Clock.Now().Sub(rq.arrived), remaining) {
@@ -307,8 +307,11 @@
 	if me.InvalidLimit != "" && fl.RecordInvalidLimit(pl.view.ID) {
 		fw.gw.opts.Log.WithFields(logrus.Fields{"endpoint": pl.view.ID, "value": me.InvalidLimit}).Warn("Endpoint's limit is invalid.")
 	}
-	if me.HasLimit || !me.NotExecuted && me.InvalidLimit == "" {
-		fl.RecordLimit(pl.view.ID, pl.view.StartTimeMs, me.Limit, pl.sentAt)
+	switch {
+	case me.HasLimit:
+		fl.RecordLimit(pl.view.ID, pl.view.StartTimeMs, me.Limit)
+	case !me.NotExecuted && me.InvalidLimit == "":
+		fl.RecordNoLimit(pl.view.ID, pl.view.StartTimeMs, pl.sentAt)
 	}
 }
 
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -70,3 +70,47 @@
 	}
 	require.LessOrEqual(t, mostRequests(env.engines[0], start.Add(settleTime), span), int(1.5*span.Seconds()*limit)+5)
 }
+
+// Guards against an endpoint that is within its limit only as long as requests can go elsewhere.
+func TestServiceGetsNoMoreRequestsThanItsLimits(t *testing.T) {
+	t.Parallel()
+	const limit, span, settleTime = 2, 4 * time.Second, 3 * time.Second
+	env := newTestEnv(t, 2, 0)
+	env.writeConfiguration()
+	hosts := []*node.Node{env.startReadyHost("host-0"), env.startReadyHost("host-1"), env.startReadyHost("host-2")}
+	for _, ep := range env.engines {
+		ep.AnnounceLimit("2.0")
+	}
+	start := time.Now()
+	for _, re := range env.sendEvery(25*time.Millisecond, settleTime+span, "/note/1", hosts...) {
+		if re.status != http.StatusOK {
+			require.Equal(t, http.StatusServiceUnavailable, re.status)
+			require.Equal(t, "limited\n", re.body)
+			require.NotEmpty(t, re.header.Get("Retry-After"))
+		}
+	}
+	for _, ep := range env.engines {
+		most := mostRequests(ep, start.Add(settleTime), span)
+		require.LessOrEqual(t, most, int(1.5*span.Seconds()*limit)+5)
+		require.Positive(t, most)
+	}
+}
+
+// Guards against repeats and resumed streams that an endpoint with a limit gets on top of it.
+func TestRepeatsStayWithinLimit(t *testing.T) {
+	t.Parallel()
+	env := newTestEnv(t, 2, 0)
+	env.writeConfiguration()
+	no := env.startReadyHost("host-0")
+	env.engines[0].AnnounceLimit("0")
+	env.engines[1].InjectFaults(site.ShedLoad)
+	env.send(no, http.MethodPost, "/query/1", env.requestID(), "", promptHeaders())
+	require.Len(t, env.engines[0].RecordedRequests(), 1)
+	env.engines[1].ClearFaults()
+	for _, fault := range []site.EndpointFault{site.ResetConnection, site.TruncateResponse, site.ShedLoad, site.InternalError, site.EndInsideEvent} {
+		env.engines[1].InjectFaults(fault)
+		env.send(no, http.MethodPost, "/query/1", env.requestID(), "", promptHeaders())
+		env.engines[1].ClearFaults()
+	}
+	require.Len(t, env.engines[0].RecordedRequests(), 1)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,7 +143,7 @@
 		cache:             cachedir.New(ck),
 		quarantine:        quarantine.NewTracker(ck),
 	}
-	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, OnLimitChange: no.noteLimitChange})
+	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnLimitChange: no.noteLimitChange})
 	no.hostCount.Store(1)
 	no.currentSettings.Store(&st)
 	setMemoryLimit(st.MemoryMiB)
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -47,12 +47,17 @@
 			dg.Weights = append(dg.Weights, peering.EndpointWeights{Endpoint: id, Model: model, Version: version})
 		}
 	}
+	now := no.ck.Now()
+	for _, li := range no.fleet.Limits() {
+		dg.Limits = append(dg.Limits, peering.EndpointLimit{
+			Endpoint: li.Endpoint, StartTimeMs: li.StartTimeMs, PerSecond: li.PerSecond, AgeUs: now.Sub(li.AsOf).Microseconds(),
+		})
+	}
 	// The clock is read before the revision of the gates: if the gates change in between, peers get a
 	// shorter grant or none, never a longer one.
 	if clock := no.cache.Clock(); clock > 0 && no.isRegistered() {
 		dg.EndpointClockMs, dg.GateRevisionPlusOne = clock, no.reclaimer.gatesRevision()+1
 	}
-	now := no.ck.Now()
 	crashes, cleared := no.quarantine.RecentChanges()
 	for _, cr := range crashes {
 		reporter := cr.Reporter
@@ -144,6 +149,11 @@
 		no.fleet.UpdateWeights(we.Endpoint, we.Model, we.Version)
 	}
 	now := no.ck.Now()
+	for _, el := range dg.Limits {
+		no.fleet.MergeLimit(fleet.Limit{
+			Endpoint: el.Endpoint, StartTimeMs: el.StartTimeMs, PerSecond: el.PerSecond, AsOf: now.Add(-time.Duration(el.AgeUs) * time.Microsecond),
+		})
+	}
 	for _, cr := range dg.Crashes {
 		if cr.Reporter == no.st.Name {
 			continue
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -49,6 +49,17 @@
 		Loading  bool   `json:"l,omitempty"`
 	}
 
+	// EndpointLimit reports the limit that an endpoint named in a response to the sender; see package fleet.
+	EndpointLimit struct {
+		Endpoint string `json:"e"`
+		// StartTimeMs is the start time of the endpoint, in Unix milliseconds.
+		StartTimeMs int64 `json:"b"`
+		// PerSecond is the limit in requests per second; zero means that the endpoint names none any more.
+		PerSecond float64 `json:"l,omitempty"`
+		// AgeUs is the time since the response, in microseconds.
+		AgeUs int64 `json:"a"`
+	}
+
 	// CacheStoreState holds the state of a cache store as the aggregator knows it.
 	CacheStoreState struct {
 		Address string `json:"a"`
@@ -157,6 +168,8 @@
 		UnreachableBy map[string]int    `json:"d,omitempty"`
 		Loads         Loads             `json:"l,omitempty"`
 		Weights       []EndpointWeights `json:"w,omitempty"`
+		// Limits lists the limits that endpoints name.
+		Limits []EndpointLimit `json:"e,omitempty"`
 		// Crashes lists requests that were running during recent crashes. Cleared lists the fingerprints
 		// of those that have been answered since.
 		Crashes []CrashReport `json:"q,omitempty"`
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -231,3 +231,20 @@
 		return requests == 29
 	}, waitTimeout, pollInterval)
 }
+
+// Guards against a limit that only one host of a large fleet knows.
+func TestTieredExchangePassesOnNewestLimit(t *testing.T) {
+	hosts := startHosts(t, 20)
+	for i, ho := range hosts[:3] {
+		ho.mu.Lock()
+		ho.extra = peering.Digest{Limits: []peering.EndpointLimit{{Endpoint: "engine", StartTimeMs: 1, PerSecond: float64(i + 1), AgeUs: int64(1000 * (3 - i))}}}
+		ho.mu.Unlock()
+	}
+	for _, ho := range hosts {
+		require.Eventually(t, func() bool {
+			ho.mu.Lock()
+			defer ho.mu.Unlock()
+			return len(ho.last.Limits) == 1 && ho.last.Limits[0].PerSecond == 3
+		}, waitTimeout, pollInterval, ho.name)
+	}
+}
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -40,6 +40,8 @@
 	maxReportAge = 1500 * time.Millisecond
 	// maxMergedCrashes limits the crashes in a merged digest, to about 10 KB.
 	maxMergedCrashes = 128
+	// maxMergedLimits limits the limits of endpoints in a merged digest, to about 10 KB.
+	maxMergedLimits = 160
 	// maxAccusedParts, maxClearedParts and maxMergedVerdicts limit what a merged digest says about parts of prompts,
 	// to about 20 KB.
 	maxAccusedParts   = 1024
@@ -131,10 +133,32 @@
 	for fp := range cleared {
 		out.Cleared = append(out.Cleared, fp)
 	}
+	out.Limits = mergeLimits(digests)
 	mergePartState(&out, digests)
 	return out
 }
 
+// mergeLimits returns the newest limit of each start of an endpoint, at most maxMergedLimits of them.
+func mergeLimits(digests []Digest) []EndpointLimit {
+	type startKey struct {
+		endpoint    string
+		startTimeMs int64
+	}
+	newest := make(map[startKey]EndpointLimit)
+	for _, dg := range digests {
+		for _, el := range dg.Limits {
+			key := startKey{el.Endpoint, el.StartTimeMs}
+			if known, ok := newest[key]; !ok || el.AgeUs < known.AgeUs {
+				newest[key] = el
+			}
+		}
+	}
+	out := slices.SortedFunc(maps.Values(newest), func(a, b EndpointLimit) int {
+		return cmp.Or(cmp.Compare(a.AgeUs, b.AgeUs), cmp.Compare(a.Endpoint, b.Endpoint))
+	})
+	return out[:min(len(out), maxMergedLimits)]
+}
+
 // mergePartState merges the reports about parts of prompts into out.
 func mergePartState(out *Digest, digests []Digest) {
 	type crashKey struct{ crash, reporter string }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,6 +31,9 @@
 	// oldWeightsPenaltyMs is the cost of an engine with older weights. It is less than a repeated
 	// prefill of a long prompt, so that conversations stay where their KV cache is during a rollout.
 	oldWeightsPenaltyMs = 40.0
+	// limitedPenaltyMs is the cost of an endpoint that names a limit of requests. It is less than a repeated prefill of a
+	// long prompt, so that the limit is used for conversations whose KV cache is there.
+	limitedPenaltyMs = 40.0
 	// failurePenaltyMs is the cost of an endpoint that fails every request.
 	failurePenaltyMs = 1500.0
 	// memoryOverflowWaitMs is the expected wait for an engine's memory when the demand exceeds the
@@ -158,10 +161,16 @@
 // worked off, spread by a hash of the request's identifier so that clients do not retry all at once,
 // and early enough for the answer to be of use.
 func RetryAfter(id string, wait, target, remaining time.Duration) time.Duration {
+	latest := time.Duration(float64(remaining) * maxRetryAfterShare)
+	return RetryAfterWait(id, max(latest/2, wait-target), remaining)
+}
+
+// RetryAfterWait returns the time after which a refused client should retry if the request can be served after about wait,
+// spread by a hash of the request's identifier, and early enough for the answer to be of use.
+func RetryAfterWait(id string, wait, remaining time.Duration) time.Duration {
 	unit := float64(rendezvous.Hash(id)>>11) / (1 << 53)
 	latest := time.Duration(float64(remaining) * maxRetryAfterShare)
-	after := time.Duration(float64(max(latest/2, wait-target)) * (0.6 + 0.8*unit))
-	return min(max(after, minRetryAfter), latest)
+	return min(max(time.Duration(float64(wait)*(0.6+0.8*unit)), minRetryAfter), latest)
 }
 
 // slotWaitFactor returns the expected wait for a slot, as a multiple of lastSlotWaitMs, at an engine
@@ -195,6 +204,9 @@
 			cost += oldWeightsPenaltyMs
 		}
 	}
+	if ca.Limited {
+		cost += limitedPenaltyMs
+	}
 	cost += failurePenaltyMs * ca.FailureShare
 	if ca.Zone != job.Zone {
 		cost += crossZonePenaltyMs
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -51,6 +51,10 @@
 		AcceptedOrders uint64
 		// Versions holds the loaded weight versions by model.
 		Versions map[string]uint64
+		// Limit is the rate of requests that the engine takes from all hosts together, in requests per second, and
+		// HasLimit whether it names one.
+		Limit    float64
+		HasLimit bool
 	}
 
 	// Order tells an engine to load a version of a model's weights once its running requests have ended.
@@ -106,6 +110,8 @@
 		model     string
 		version   uint64
 		startedAt time.Time
+		// startTimeMs is the start time of the engine, in Unix milliseconds.
+		startTimeMs int64
 		// orderedAt is the time of the latest order; it is zero while the engine is being drained.
 		orderedAt time.Time
 		// polledAt is the time at which the latest call to the engine returned.
@@ -230,7 +236,7 @@
 		if !ok || co.jobs[vw.ID] != nil || !co.canStart(now, maxParallel) {
 			continue
 		}
-		co.jobs[vw.ID] = &job{address: vw.Address, model: model, version: version, startedAt: now}
+		co.jobs[vw.ID] = &job{address: vw.Address, model: model, version: version, startedAt: now, startTimeMs: vw.StartTimeMs}
 	}
 	for id := range co.jobs {
 		co.opts.Fleet.MarkLoading(id, now.Add(loadingMarkTTL))
@@ -307,11 +313,15 @@
 		jb.callInFlight, jb.polledAt = false, co.opts.Clock.Now()
 		co.mu.Unlock()
 	}()
+	co.opts.Fleet.CountCall(id)
 	rp, err := co.opts.Engines.FetchReport(ctx, jb.address, id)
 	if err != nil {
 		co.opts.Log.WithFields(logrus.Fields{"endpoint": id, "cause": err.Error()}).Warn("Cannot get the engine's report.")
 		return
 	}
+	if rp.HasLimit {
+		co.opts.Fleet.RecordLimit(id, jb.startTimeMs, rp.Limit)
+	}
 	now := co.opts.Clock.Now()
 	co.mu.Lock()
 	due := jb.orderedAt.IsZero() || now.Sub(jb.orderedAt) >= orderRetryInterval
@@ -335,6 +345,7 @@
 		return
 	}
 	od := Order{Model: jb.model, Version: version, Holder: co.opts.Holder, FencingToken: token, ExpectedOrders: rp.AcceptedOrders}
+	co.opts.Fleet.CountCall(id)
 	re, err := co.opts.Engines.SendOrder(ctx, jb.address, id, od)
 	co.mu.Lock()
 	jb.orderedAt = now
