--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -113,3 +113,22 @@
 		return isActive(ca)
 	}, waitTimeout, pollInterval)
 }
+
+// Guards against orders of a leader that endpoints refuse, or carry out after those of the next one, because a restored
+// store has given out revisions again.
+func TestFencingTokenRisesWhenStoreIsRestored(t *testing.T) {
+	st := newStore(t)
+	backup := st.Backup()
+	for range 50 {
+		st.PutBytes("other", nil)
+	}
+	first, stop := startCandidate(t, st, "first", &bootClock{})
+	require.Eventually(t, func() bool { return isActive(first) }, waitTimeout, pollInterval)
+	token, _ := first.FencingToken()
+	stop()
+	st.Restore(backup)
+	second, _ := startCandidate(t, st, "second", &bootClock{})
+	require.Eventually(t, func() bool { return isActive(second) }, waitTimeout, pollInterval)
+	next, _ := second.FencingToken()
+	require.Greater(t, next, token)
+}
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -147,3 +147,26 @@
 	_, err = client.Watch(ctx, "", 0, time.Millisecond)
 	require.True(t, metastore.IsCompacted(err))
 }
+
+// Guards against a follower that goes on from a revision which a restored store has given out again.
+func TestFollowSeesAllChangesOfRestoredStore(t *testing.T) {
+	st, rp := startFollower(t)
+	st.PutBytes("kept", []byte("1"))
+	backup := st.Backup()
+	st.PutBytes("lost", []byte("1"))
+	st.PutBytes("kept", []byte("2"))
+	require.Eventually(t, func() bool { return rp.valueOf("kept") == "2" }, waitTimeout, pollInterval)
+	st.SetFault(site.StoreUnavailable)
+	st.Restore(backup)
+	for i := range 5 {
+		st.PutBytes(fmt.Sprint("new-", i), []byte("1"))
+	}
+	st.SetFault(site.NoStoreFault)
+	st.PutBytes("last", []byte("1"))
+	require.Eventually(t, func() bool { return rp.valueOf("last") == "1" }, waitTimeout, pollInterval)
+	for i := range 5 {
+		require.Equal(t, "1", rp.valueOf(fmt.Sprint("new-", i)), i)
+	}
+	require.Equal(t, "1", rp.valueOf("kept"))
+	require.Empty(t, rp.valueOf("lost"))
+}
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -31,7 +32,9 @@
 		server   *http.Server
 		listener net.Listener
 
-		mu       sync.Mutex
+		mu sync.Mutex
+		// era is the number of copies from which the store has been restored, plus one.
+		era      uint64
 		revision uint64
 		items    map[string]item
 		history  []event
@@ -54,6 +57,16 @@
 		Lease      uint64 `json:"lease"`
 	}
 
+	// Backup is a copy of a store's state.
+	Backup struct {
+		revision uint64
+		items    map[string]item
+		leases   map[uint64]lease
+		history  []event
+		// compactedRevision is that of the store.
+		compactedRevision uint64
+	}
+
 	event struct {
 		item
 		Removed bool `json:"removed,omitempty"`
@@ -96,7 +109,7 @@
 		return nil, errors.Wrap(err, "site: listen")
 	}
 	st := &Store{
-		listener: ln, revision: 1, items: make(map[string]item), leases: make(map[uint64]lease), changed: make(chan struct{}),
+		listener: ln, era: 1, revision: 1, items: make(map[string]item), leases: make(map[uint64]lease), changed: make(chan struct{}),
 	}
 	st.server = &http.Server{Handler: st, ReadHeaderTimeout: time.Second}
 	go func() { _ = st.server.Serve(ln) }()
@@ -132,6 +145,38 @@
 	st.notifyWatchers()
 }
 
+// Backup returns a copy of the current state.
+func (st *Store) Backup() *Backup {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return &Backup{
+		revision: st.revision, items: maps.Clone(st.items), leases: maps.Clone(st.leases), history: slices.Clone(st.history),
+		compactedRevision: st.compactedRevision,
+	}
+}
+
+// Restore replaces the state by a copy, as after the loss of the store's disks. All that was written since the copy is lost,
+// leases too, and the revisions since then are given out again. The leases of the copy run on from now.
+func (st *Store) Restore(bu *Backup) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.era++
+	st.revision, st.items, st.leases = bu.revision, maps.Clone(bu.items), maps.Clone(bu.leases)
+	st.history, st.compactedRevision = slices.Clone(bu.history), bu.compactedRevision
+	for id, le := range st.leases {
+		le.expiresAt = time.Now().Add(le.ttl)
+		st.leases[id] = le
+	}
+	st.notifyWatchers()
+}
+
+// Era returns the number of times that the store has been restored, plus one.
+func (st *Store) Era() uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.era
+}
+
 // CallCount returns the number of calls received so far.
 func (st *Store) CallCount() int {
 	st.mu.Lock()
@@ -192,6 +237,7 @@
 	st.mu.Lock()
 	st.callCount++
 	fault, delay := st.fault, st.delay
+	w.Header().Set("Store-Era", strconv.FormatUint(st.era, 10))
 	st.mu.Unlock()
 	if delay > 0 {
 		select {
@@ -252,7 +298,7 @@
 }
 
 // handleWatch waits for events after a revision. It responds with status 410 if the history has been
-// compacted beyond that revision.
+// compacted beyond that revision, or the store does not have that revision.
 func (st *Store) handleWatch(w http.ResponseWriter, rq *http.Request) {
 	query := rq.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -265,7 +311,8 @@
 	for {
 		st.mu.Lock()
 		st.revokeExpired()
-		if after < st.compactedRevision {
+		w.Header().Set("Store-Era", strconv.FormatUint(st.era, 10))
+		if after < st.compactedRevision || after > st.revision {
 			st.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
