--- a/internal/cachedir/cachedir_test.go
+++ b/internal/cachedir/cachedir_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bergamotway/bergamotway/internal/cachedir"
 	"github.com/bergamotway/bergamotway/internal/catalog"
+	"github.com/bergamotway/bergamotway/internal/metastore"
 )
 
 const (
@@ -139,6 +140,9 @@
 	require.Len(t, freed, 200)
 }
 
+// at returns the revision of the first era with the given number.
+func at(number uint64) metastore.Revision { return metastore.Revision{Era: 1, Number: number} }
+
 // Guards against freeing nothing until the last of several steps: each step restarted the delay, and the
 // stores were full when newer weights came. Seen in fleets of some 70 hosts.
 func TestGatesSettleWhileTheyAreLowered(t *testing.T) {
@@ -147,20 +151,20 @@
 	now := time.Unix(1000, 0)
 	const delay = 2700 * time.Millisecond
 	for i := range 8 {
-		gh.Record(cachedir.Gates{salt: {Open: uint32(8-i) * 8000}}, uint64(10+i))
+		gh.Record(cachedir.Gates{salt: {Open: uint32(8-i) * 8000}}, at(uint64(10+i)))
 		now = now.Add(1300 * time.Millisecond)
 		// All hosts know a step by the time of the next one.
-		ga, ok := gh.Settled(uint64(10+i), now, delay)
+		ga, ok := gh.Settled(at(uint64(10+i)), now, delay)
 		require.Equal(t, i >= 3, ok)
 		if ok {
 			require.Equal(t, uint32(8-(i-3))*8000, ga[salt].Open, "a step that hosts have not known for long enough is not used")
 		}
 	}
 	_, last := gh.Last()
-	require.Equal(t, uint64(17), last)
-	gh.Record(cachedir.Gates{}, 12)
+	require.Equal(t, at(17), last)
+	gh.Record(cachedir.Gates{}, at(12))
 	_, last = gh.Last()
-	require.Equal(t, uint64(17), last, "an older revision is ignored")
+	require.Equal(t, at(17), last, "an older revision is ignored")
 }
 
 // Guards against hosts that lose the metadata store and prefill whole prompts once their lease has
@@ -169,14 +173,14 @@
 	var fg cachedir.FetchGrant
 	const clock = 5_000_000
 	require.False(t, fg.IsValid(clock))
-	fg.Extend(7, 7, clock)
+	fg.Extend(at(7), at(7), clock)
 	require.True(t, fg.IsValid(clock+500))
-	fg.Extend(7, 7, clock-400)
+	fg.Extend(at(7), at(7), clock-400)
 	require.True(t, fg.IsValid(clock+500), "a delayed older report does not shorten the grant")
 	require.False(t, fg.IsValid(clock+600), "no report since")
-	fg.Extend(7, 9, clock+700)
+	fg.Extend(at(7), at(9), clock+700)
 	require.True(t, fg.IsValid(clock+700), "this host knows lower gates than the other")
-	fg.Extend(10, 9, clock+701)
+	fg.Extend(at(10), at(9), clock+701)
 	require.False(t, fg.IsValid(clock+701), "the other host knows lower gates")
 }
 
@@ -313,3 +317,26 @@
 	_, _, ok = cachedir.ParseSalt("foreign")
 	require.False(t, ok)
 }
+
+// Guards against parts that are fetched again while they are freed, because a restored store has the gates of before.
+func TestGatesAreNotRaisedWhenStoreIsRestored(t *testing.T) {
+	var gh cachedir.GateHistory
+	salt, other := cachedir.Salt("m", 1, ""), cachedir.Salt("m", 2, "")
+	gh.Record(cachedir.Gates{salt: {Open: 8000}}, at(10))
+	gh.Record(cachedir.Gates{salt: {Open: 4000}}, at(20))
+	gh.Restore()
+	require.Equal(t, uint32(4000), gh.InForce()[salt].Open)
+	restored := metastore.Revision{Era: 2, Number: 10}
+	gh.Record(cachedir.Gates{salt: {Open: 8000}, other: {Open: 6000}}, restored)
+	require.Equal(t, uint32(4000), gh.InForce()[salt].Open)
+	require.Equal(t, uint32(6000), gh.InForce()[other].Open)
+	stored, revision := gh.Last()
+	require.Equal(t, uint32(8000), stored[salt].Open, "the lower gates have to be written again")
+	require.Equal(t, restored, revision)
+	now := time.Unix(1000, 0)
+	_, ok := gh.Settled(at(99), now, 0)
+	require.False(t, ok, "hosts that have seen all of the era before may not know the gates")
+	ga, ok := gh.Settled(restored, now, 0)
+	require.True(t, ok)
+	require.Equal(t, uint32(8000), ga[salt].Open, "other hosts may know only the gates of the copy")
+}
--- a/internal/cachedir/gate.go
+++ b/internal/cachedir/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -83,6 +84,20 @@
 	return lowered
 }
 
+// lowest returns the lower gate of each salt.
+func (ga Gates) lowest(other Gates) Gates {
+	if len(other) == 0 {
+		return ga
+	}
+	out := maps.Clone(other)
+	for salt, gate := range ga {
+		if known, ok := out[salt]; !ok || gate.Open < known.Open {
+			out[salt] = gate
+		}
+	}
+	return out
+}
+
 // SetGates replaces the gates that Find applies.
 func (di *Directory) SetGates(ga Gates) {
 	di.mu.Lock()
--- a/internal/cachedir/grant.go
+++ b/internal/cachedir/grant.go
@@ -1,5 +1,7 @@
 package cachedir
 
+import "github.com/bergamotway/bergamotway/internal/metastore"
+
 // grantDurationMs is the validity of a grant, in milliseconds of the endpoints' clock. Once all registered hosts
 // know a gate, the parts that it excludes are freed after a delay. The grant and the longest fetch under it
 // must end within that delay.
@@ -16,8 +18,8 @@
 // Extend applies a report that a registered host made at clockMs. PeerRevision is the revision of the gates
 // that the registered host knows, ownRevision the one that this host knows. A host that does not know the
 // newest gates may not fetch.
-func (fg *FetchGrant) Extend(peerRevision, ownRevision uint64, clockMs int64) {
-	if ownRevision < peerRevision {
+func (fg *FetchGrant) Extend(peerRevision, ownRevision metastore.Revision, clockMs int64) {
+	if ownRevision.Before(peerRevision) {
 		fg.validUntilMs = 0
 		return
 	}
--- a/internal/changefeed/changefeed.go
+++ b/internal/changefeed/changefeed.go
@@ -20,8 +20,8 @@
 	// Update describes the changes in a range of revisions.
 	Update struct {
 		// From and To bound the range: Events holds all changes after revision From up to revision To.
-		From uint64 `json:"f"`
-		To   uint64 `json:"t"`
+		From metastore.Revision `json:"f"`
+		To   metastore.Revision `json:"t"`
 		// AgeMs is the time since the relay sent the call to the store that confirmed To, in milliseconds.
 		AgeMs int64 `json:"a"`
 		// Failing reports that the relay's last call to the store failed.
@@ -30,7 +30,7 @@
 		Events []Event `json:"e,omitempty"`
 	}
 
-	// Event is a change of one key.
+	// Event is a change of one key. Its revision has the era of the update.
 	Event struct {
 		Key      string `json:"k"`
 		Value    []byte `json:"v,omitempty"`
@@ -44,12 +44,12 @@
 func (up Update) age() time.Duration { return time.Duration(up.AgeMs) * time.Millisecond }
 
 func newEvent(ev metastore.Event) Event {
-	return Event{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision, Lease: ev.Item.Lease, Removed: ev.Removed}
+	return Event{Key: ev.Item.Key, Value: ev.Item.Value, Revision: ev.Item.Revision.Number, Lease: ev.Item.Lease, Removed: ev.Removed}
 }
 
-func (ev Event) toStoreEvent() metastore.Event {
+func (ev Event) toStoreEvent(era uint64) metastore.Event {
 	return metastore.Event{
-		Item:    metastore.Item{Key: ev.Key, Value: ev.Value, Revision: ev.Revision, Lease: ev.Lease},
+		Item:    metastore.Item{Key: ev.Key, Value: ev.Value, Revision: metastore.Revision{Era: era, Number: ev.Revision}, Lease: ev.Lease},
 		Removed: ev.Removed,
 	}
 }
--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -206,8 +206,11 @@
 	zo.put(t, "second", "2")
 }
 
+// at returns the revision of the first era with the given number.
+func at(number uint64) metastore.Revision { return metastore.Revision{Era: 1, Number: number} }
+
 func event(key string, revision uint64) metastore.Event {
-	return metastore.Event{Item: metastore.Item{Key: key, Value: []byte("v"), Revision: revision}}
+	return metastore.Event{Item: metastore.Item{Key: key, Value: []byte("v"), Revision: at(revision)}}
 }
 
 func TestUpdatesRepeatWholeRevisions(t *testing.T) {
@@ -216,20 +219,20 @@
 	pu := changefeed.NewPublisher(func() time.Duration { return now })
 	_, ok := pu.Update()
 	require.False(t, ok)
-	pu.Record(5, metastore.Changes{Events: []metastore.Event{event("a", 6), event("b", 6)}, Revision: 6}, 0)
+	pu.Record(at(5), metastore.Changes{Events: []metastore.Event{event("a", 6), event("b", 6)}, Revision: at(6)}, 0)
 	now = 200 * time.Millisecond
-	pu.Record(6, metastore.Changes{Events: []metastore.Event{event("c", 8)}, Revision: 9}, now)
+	pu.Record(at(6), metastore.Changes{Events: []metastore.Event{event("c", 8)}, Revision: at(9)}, now)
 	up, ok := pu.Update()
 	require.True(t, ok)
-	require.Equal(t, []uint64{5, 9, 3}, []uint64{up.From, up.To, uint64(len(up.Events))})
+	require.Equal(t, []uint64{5, 9, 3}, []uint64{up.From.Number, up.To.Number, uint64(len(up.Events))})
 	now = 500 * time.Millisecond
 	up, _ = pu.Update()
-	require.Equal(t, []uint64{6, 9, 1}, []uint64{up.From, up.To, uint64(len(up.Events))})
+	require.Equal(t, []uint64{6, 9, 1}, []uint64{up.From.Number, up.To.Number, uint64(len(up.Events))})
 	require.Equal(t, int64(300), up.AgeMs)
 	// A host that was a subscriber in between begins a new range.
-	pu.Record(20, metastore.Changes{Revision: 20}, now)
+	pu.Record(at(20), metastore.Changes{Revision: at(20)}, now)
 	up, _ = pu.Update()
-	require.Equal(t, []uint64{20, 20, 0}, []uint64{up.From, up.To, uint64(len(up.Events))})
+	require.Equal(t, []uint64{20, 20, 0}, []uint64{up.From.Number, up.To.Number, uint64(len(up.Events))})
 }
 
 func TestOldConfirmationsDoNotCoverTheState(t *testing.T) {
@@ -237,14 +240,14 @@
 	ck := clockwork.NewFakeClock()
 	su := changefeed.NewSubscriber(changefeed.SubscriberOptions{Clock: ck, MaxAge: func() time.Duration { return maxAge }})
 	covers := func() bool {
-		_, err := su.Next(context.Background(), 3)
+		_, err := su.Next(context.Background(), at(3))
 		return err == nil
 	}
 	require.False(t, covers())
 	// A relay that was suspended sends a state that it confirmed long ago.
-	su.Offer("relay", changefeed.Update{From: 2, To: 3, AgeMs: 5000})
+	su.Offer("relay", changefeed.Update{From: at(2), To: at(3), AgeMs: 5000})
 	require.False(t, covers())
-	su.Offer("relay", changefeed.Update{From: 2, To: 3, AgeMs: 100})
+	su.Offer("relay", changefeed.Update{From: at(2), To: at(3), AgeMs: 100})
 	require.True(t, covers())
 	ck.Advance(maxAge)
 	require.False(t, covers())
@@ -256,19 +259,19 @@
 	t.Parallel()
 	ck := clockwork.NewFakeClock()
 	su := changefeed.NewSubscriber(changefeed.SubscriberOptions{Clock: ck, MaxAge: func() time.Duration { return maxAge }})
-	su.Offer("first", changefeed.Update{From: 2, To: 3})
-	_, err := su.Next(context.Background(), 3)
+	su.Offer("first", changefeed.Update{From: at(2), To: at(3)})
+	_, err := su.Next(context.Background(), at(3))
 	require.NoError(t, err)
-	su.Offer("second", changefeed.Update{From: 2, To: 3, Failing: true})
+	su.Offer("second", changefeed.Update{From: at(2), To: at(3), Failing: true})
 	ck.Advance(time.Millisecond)
-	su.Offer("first", changefeed.Update{From: 2, To: 4, Events: []changefeed.Event{{Key: "k", Revision: 4}}})
-	ch, err := su.Next(context.Background(), 3)
+	su.Offer("first", changefeed.Update{From: at(2), To: at(4), Events: []changefeed.Event{{Key: "k", Revision: 4}}})
+	ch, err := su.Next(context.Background(), at(3))
 	require.NoError(t, err)
 	require.Len(t, ch.Events, 1)
 	var lost *changefeed.NotCoveredError
 	for _, wantLost := range []bool{true, false} {
-		su.Offer("first", changefeed.Update{From: 2, To: 4, Failing: true})
-		_, err = su.Next(context.Background(), 4)
+		su.Offer("first", changefeed.Update{From: at(2), To: at(4), Failing: true})
+		_, err = su.Next(context.Background(), at(4))
 		require.ErrorAs(t, err, &lost)
 		require.Equal(t, wantLost, lost.IsStoreLost())
 	}
@@ -278,11 +281,33 @@
 func TestOlderUpdatesAreNoGap(t *testing.T) {
 	t.Parallel()
 	su := changefeed.NewSubscriber(changefeed.SubscriberOptions{MaxAge: func() time.Duration { return time.Minute }})
-	su.Offer("relay", changefeed.Update{From: 2, To: 4, AgeMs: 10})
-	ch, err := su.Next(context.Background(), 9)
+	su.Offer("relay", changefeed.Update{From: at(2), To: at(4), AgeMs: 10})
+	ch, err := su.Next(context.Background(), at(9))
 	require.NoError(t, err)
-	require.Equal(t, metastore.Changes{Revision: 9}, ch)
-	su.Offer("relay", changefeed.Update{From: 11, To: 12})
-	_, err = su.Next(context.Background(), 9)
+	require.Equal(t, metastore.Changes{Revision: at(9)}, ch)
+	su.Offer("relay", changefeed.Update{From: at(11), To: at(12)})
+	_, err = su.Next(context.Background(), at(9))
+	require.ErrorContains(t, err, "missing")
+}
+
+// Guards against a relay that does not know of a restore, whose state covers that of a host which does, and against changes of a
+// new era that are applied to the state of the one before.
+func TestUpdatesOfOtherErasDoNotCoverTheState(t *testing.T) {
+	t.Parallel()
+	restored := func(number uint64) metastore.Revision { return metastore.Revision{Era: 2, Number: number} }
+	ck := clockwork.NewFakeClock()
+	su := changefeed.NewSubscriber(changefeed.SubscriberOptions{Clock: ck, MaxAge: func() time.Duration { return maxAge }})
+	su.Offer("relay", changefeed.Update{From: at(2), To: at(9)})
+	_, err := su.Next(context.Background(), at(9))
+	require.NoError(t, err)
+	ck.Advance(time.Millisecond)
+	su.Offer("relay", changefeed.Update{From: restored(4), To: restored(12), Events: []changefeed.Event{{Key: "k", Revision: 12}}})
+	_, err = su.Next(context.Background(), at(9))
 	require.ErrorContains(t, err, "missing")
+	ck.Advance(2 * maxAge)
+	_, err = su.Next(context.Background(), restored(5))
+	require.Error(t, err)
+	su.Offer("other", changefeed.Update{From: at(2), To: at(20)})
+	_, err = su.Next(context.Background(), restored(5))
+	require.ErrorContains(t, err, "confirmed")
 }
--- a/internal/changefeed/publisher.go
+++ b/internal/changefeed/publisher.go
@@ -25,7 +25,7 @@
 		failing   bool
 		// confirmedAt is the reading of sinceBoot at which the call that returned revision to was sent.
 		confirmedAt time.Duration
-		from, to    uint64
+		from, to    metastore.Revision
 		recent      []recentEvent
 		recentBytes int
 	}
@@ -44,7 +44,7 @@
 
 // Record records the response to a watch from revision after that was sent at requestedAt, a reading of the
 // clock.
-func (pu *Publisher) Record(after uint64, ch metastore.Changes, requestedAt time.Duration) {
+func (pu *Publisher) Record(after metastore.Revision, ch metastore.Changes, requestedAt time.Duration) {
 	pu.mu.Lock()
 	defer pu.mu.Unlock()
 	if !pu.confirmed || pu.to != after {
@@ -86,8 +86,8 @@
 // prune drops the oldest events, always all of one revision, until the rest is recent and small enough.
 func (pu *Publisher) prune(now time.Duration) {
 	for len(pu.recent) > 0 && (pu.recentBytes > maxEventBytes || now-pu.recent[0].recordedAt > repeatTime) {
-		pu.from = pu.recent[0].Revision
-		for len(pu.recent) > 0 && pu.recent[0].Revision == pu.from {
+		pu.from = metastore.Revision{Era: pu.to.Era, Number: pu.recent[0].Revision}
+		for len(pu.recent) > 0 && pu.recent[0].Revision == pu.from.Number {
 			pu.recentBytes -= pu.recent[0].size()
 			pu.recent = pu.recent[1:]
 		}
--- a/internal/changefeed/subscriber.go
+++ b/internal/changefeed/subscriber.go
@@ -43,7 +43,7 @@
 		// covered is set while Next returns changes.
 		covered bool
 		// revision is the revision up to which Next has returned all changes.
-		revision uint64
+		revision metastore.Revision
 	}
 
 	// NotCoveredError reports that the host must ask the store itself.
@@ -76,6 +76,10 @@
 func (su *Subscriber) Offer(relay string, up Update) {
 	su.mu.Lock()
 	defer su.mu.Unlock()
+	if up.To.Era < su.revision.Era {
+		// The relay does not know that the store was restored.
+		return
+	}
 	if up.Failing {
 		replaced := relay != su.relay && su.opts.Clock.Now().Sub(su.confirmedAt) <= su.opts.MaxAge()
 		if !su.failing && !replaced {
@@ -89,7 +93,7 @@
 		return
 	}
 	su.failing, su.confirmedAt, su.relay = false, confirmedAt, relay
-	if n := len(su.pending); up.To <= su.revision || n > 0 && su.pending[n-1].To == up.To {
+	if n := len(su.pending); !up.To.After(su.revision) || n > 0 && su.pending[n-1].To == up.To {
 		return
 	}
 	su.pending = append(su.pending, up)
@@ -103,7 +107,7 @@
 // ask the store itself, and with the error of ctx if that ends.
 //
 // After such a failure it returns once without changes when a relay covers the state again.
-func (su *Subscriber) Next(ctx context.Context, revision uint64) (metastore.Changes, error) {
+func (su *Subscriber) Next(ctx context.Context, revision metastore.Revision) (metastore.Changes, error) {
 	for {
 		ch, wait, err := su.poll(revision)
 		revision = ch.Revision
@@ -121,7 +125,7 @@
 
 // poll returns the pending changes after revision. Without any it returns how long the state is covered, or zero
 // if it has just become covered.
-func (su *Subscriber) poll(revision uint64) (ch metastore.Changes, wait time.Duration, err error) {
+func (su *Subscriber) poll(revision metastore.Revision) (ch metastore.Changes, wait time.Duration, err error) {
 	su.mu.Lock()
 	defer su.mu.Unlock()
 	ch.Revision, su.revision = revision, revision
@@ -130,16 +134,16 @@
 		return ch, 0, err
 	}
 	for _, up := range su.pending {
-		if up.From > ch.Revision {
+		if up.From.After(ch.Revision) {
 			su.covered, su.pending = false, nil
-			return metastore.Changes{}, 0, &NotCoveredError{reason: fmt.Sprintf("changes after revision %d are missing", ch.Revision)}
+			return metastore.Changes{}, 0, &NotCoveredError{reason: fmt.Sprintf("changes after revision %s are missing", ch.Revision)}
 		}
 		for _, ev := range up.Events {
-			if ev.Revision > ch.Revision {
-				ch.Events = append(ch.Events, ev.toStoreEvent())
+			if se := ev.toStoreEvent(up.To.Era); se.Item.Revision.After(ch.Revision) {
+				ch.Events = append(ch.Events, se)
 			}
 		}
-		ch.Revision = max(ch.Revision, up.To)
+		ch.Revision = ch.Revision.Latest(up.To)
 	}
 	su.pending, su.revision = nil, ch.Revision
 	if !su.covered {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,6 +25,8 @@
 	// and peerDownDuration the time for which it does. A single peer may have lost its own link.
 	peerDownQuorum   = 2
 	peerDownDuration = 600 * time.Millisecond
+	// departureRetention is how long an endpoint without an entry is remembered.
+	departureRetention = time.Minute
 	// failureWeight is the weight of the newest outcome in the moving average of the failure share.
 	failureWeight = 0.1
 	// residentMemoryShare is the share of an engine's memory that is expected to hold parts of earlier
@@ -57,8 +59,8 @@
 		// hostsVersion counts the changes of hosts.
 		hostsVersion int
 		evacuated    map[string]bool
-		// departed holds the limits of endpoints whose entries disappeared, by identifier, in case they return.
-		departed        map[string]departedLimit
+		// departed holds the endpoints whose entries disappeared lately, by identifier.
+		departed        map[string]departure
 		synced          bool
 		storeLostAt     time.Time
 		storeRegainedAt time.Time
@@ -73,6 +75,13 @@
 		ended     bool
 	}
 
+	// departure is a start of an endpoint whose entry disappeared, with the limit that it named.
+	departure struct {
+		startTimeMs int64
+		at          time.Time
+		limit       requestLimit
+	}
+
 	// Outcome is the result of an attempt with regard to the health of the endpoint.
 	Outcome int
 )
@@ -99,7 +108,7 @@
 		endpoints: make(map[string]*endpoint),
 		hosts:     []string{opts.Host},
 		evacuated: make(map[string]bool),
-		departed:  make(map[string]departedLimit),
+		departed:  make(map[string]departure),
 	}
 }
 
@@ -120,11 +129,33 @@
 	fl.remove(id, fl.opts.Clock.Now())
 }
 
+// ReplaceRestored records the complete list of entries of a metadata store that was restored from a copy. Entries that the copy
+// lacks may be those of live endpoints, which write them again as after an outage. Entries of endpoints that have been
+// removed may be only in the copy; those endpoints are used once they write them again.
+func (fl *Fleet) ReplaceRestored(entries []Entry) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	now := fl.opts.Clock.Now()
+	if fl.storeLostAt.IsZero() {
+		fl.storeRegainedAt = now
+	}
+	current := make([]Entry, 0, len(entries))
+	for _, en := range entries {
+		if fl.endpoints[en.ID] != nil || !fl.hasDeparted(en, now) {
+			current = append(current, en)
+		}
+	}
+	fl.replace(current, now)
+}
+
 // Replace records the complete list of entries.
 func (fl *Fleet) Replace(entries []Entry) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	now := fl.opts.Clock.Now()
+	fl.replace(entries, fl.opts.Clock.Now())
+}
+
+func (fl *Fleet) replace(entries []Entry, now time.Time) {
 	listed := make(map[string]bool, len(entries))
 	for _, en := range entries {
 		listed[en.ID] = true
@@ -300,7 +331,7 @@
 	changed := ep == nil || !ep.entry.sameStart(en) || ep.entry.Draining != en.Draining ||
 		!maps.Equal(ep.entry.Models, en.Models)
 	if ep == nil || !ep.entry.sameStart(en) {
-		ep = &endpoint{hash: rendezvous.Hash(en.ID), limit: fl.takeDepartedLimit(en)}
+		ep = &endpoint{hash: rendezvous.Hash(en.ID), limit: fl.takeDepartedLimit(en, now)}
 		fl.endpoints[en.ID] = ep
 	}
 	if en.Draining && !ep.entry.Draining {
@@ -337,12 +368,30 @@
 	ep.retainedUntil = retainedSince.Add(retentionTime)
 }
 
-// delete deletes an endpoint and keeps the limit that it names.
+// delete deletes an endpoint, and keeps its identity and the limit that it names in case its entry returns.
 func (fl *Fleet) delete(id string, ep *endpoint, now time.Time) {
 	delete(fl.endpoints, id)
-	if fl.hasLimit(ep, now) {
-		fl.keepDepartedLimit(id, ep)
+	for other, de := range fl.departed {
+		if now.Sub(de.at) > departureRetention {
+			delete(fl.departed, other)
+		}
+	}
+	fl.departed[id] = departure{startTimeMs: ep.entry.StartTimeMs, at: now, limit: ep.limit}
+}
+
+// hasDeparted reports whether the entry of this start of an endpoint disappeared lately.
+func (fl *Fleet) hasDeparted(en Entry, now time.Time) bool {
+	de, ok := fl.departed[en.ID]
+	return ok && de.startTimeMs == en.StartTimeMs && now.Sub(de.at) <= departureRetention
+}
+
+// takeDepartedLimit returns the limit that an endpoint named before its entry disappeared, if it has not been restarted.
+func (fl *Fleet) takeDepartedLimit(en Entry, now time.Time) requestLimit {
+	defer delete(fl.departed, en.ID)
+	if !fl.hasDeparted(en, now) {
+		return requestLimit{}
 	}
+	return fl.departed[en.ID].limit
 }
 
 // isExpired reports whether the retention of an endpoint without an entry has ended.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -179,3 +179,22 @@
 	ck.Advance(2 * time.Second)
 	require.Zero(t, fl.All()[0].TotalLoad(), "the load of a silent peer no longer counts")
 }
+
+// Guards against endpoints that have left and return with a copy of the metadata store, and against live ones that the copy
+// does not have.
+func TestEndpointsOfRestoredStore(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	fl.Replace([]fleet.Entry{newEntry("left"), newEntry("drains"), newEntry("lives")})
+	fl.Remove("left")
+	draining := newEntry("drains")
+	draining.Draining = true
+	fl.Put(draining)
+	fl.Put(newEntry("new"))
+	fl.ReplaceRestored([]fleet.Entry{newEntry("left"), newEntry("drains"), newEntry("lives")})
+	require.Equal(t, []string{"lives", "new"}, ids(fl.Views("engines")))
+	fl.Put(newEntry("left"))
+	require.Equal(t, []string{"left", "lives", "new"}, ids(fl.Views("engines")), "it has written its entry again")
+	ck.Advance(5 * time.Second)
+	require.Equal(t, []string{"left", "lives"}, ids(fl.Views("engines")), "it has not")
+}
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -47,12 +47,6 @@
 		hostsVersion int
 		senderSince  time.Time
 	}
-
-	// departedLimit is the limit of a start of an endpoint.
-	departedLimit struct {
-		startTimeMs int64
-		limit       requestLimit
-	}
 )
 
 const (
@@ -150,27 +144,6 @@
 	return !asOf.Before(rl.asOf)
 }
 
-// keepDepartedLimit keeps the limit of an endpoint that is deleted, and drops those that no longer count.
-func (fl *Fleet) keepDepartedLimit(id string, ep *endpoint) {
-	now := fl.opts.Clock.Now()
-	for other, dl := range fl.departed {
-		if now.Sub(dl.limit.asOf) > limitRetention {
-			delete(fl.departed, other)
-		}
-	}
-	fl.departed[id] = departedLimit{startTimeMs: ep.entry.StartTimeMs, limit: ep.limit}
-}
-
-// takeDepartedLimit returns the limit that an endpoint named before its entry disappeared, if it has not been restarted.
-func (fl *Fleet) takeDepartedLimit(en Entry) requestLimit {
-	dl, ok := fl.departed[en.ID]
-	delete(fl.departed, en.ID)
-	if !ok || dl.startTimeMs != en.StartTimeMs {
-		return requestLimit{}
-	}
-	return dl.limit
-}
-
 // MergeLimit records what another host knows of an endpoint's limit.
 func (fl *Fleet) MergeLimit(li Limit) {
 	if li.PerSecond != 0 {
--- a/internal/leadership/leadership.go
+++ b/internal/leadership/leadership.go
@@ -54,9 +54,11 @@
 
 		mu    sync.Mutex
 		lease uint64
-		// fencingToken is the revision of the commit that created the lease item; it is zero while this
+		// fencingToken is derived from the revision of the commit that created the lease item; it is zero while this
 		// host does not hold the lease.
 		fencingToken uint64
+		// era is the highest era of the store that was known when the lease was acquired.
+		era uint64
 		// activeFrom and activeUntil are the readings of SinceBoot between which this host may act.
 		activeFrom  time.Duration
 		activeUntil time.Duration
@@ -69,12 +71,13 @@
 }
 
 // FencingToken returns the fencing token; ok reports whether this host may act now. Each holder gets a
-// higher token than the previous one. FencingToken must be called right before each action.
+// higher token than the previous one. FencingToken must be called right before each action. After the store was restored
+// from a copy, which may lack the lease or its item, a holder gives it up.
 func (ca *Candidate) FencingToken() (token uint64, ok bool) {
 	ca.mu.Lock()
 	defer ca.mu.Unlock()
 	now := ca.opts.SinceBoot()
-	if ca.fencingToken == 0 || now < ca.activeFrom || now >= ca.activeUntil {
+	if ca.fencingToken == 0 || now < ca.activeFrom || now >= ca.activeUntil || ca.opts.Store.Era() > ca.era {
 		return 0, false
 	}
 	return ca.fencingToken, true
@@ -124,12 +127,12 @@
 
 // acquire requests a lease and commits the lease item on condition that the item does not exist.
 func (ca *Candidate) acquire(ctx context.Context) error {
-	requestedAt := ca.opts.SinceBoot()
+	requestedAt, era := ca.opts.SinceBoot(), ca.opts.Store.Era()
 	lease, err := ca.opts.Store.Grant(ctx, ca.opts.TTL)
 	if err != nil {
 		return err
 	}
-	token, err := ca.opts.Store.Commit(ctx, metastore.Transaction{
+	revision, err := ca.opts.Store.Commit(ctx, metastore.Transaction{
 		Preconditions: []metastore.Precondition{{Key: ca.opts.Key}},
 		Puts:          []metastore.Put{{Key: ca.opts.Key, Value: []byte(ca.opts.Holder), Lease: lease}},
 	})
@@ -139,7 +142,8 @@
 		return err
 	}
 	ca.mu.Lock()
-	ca.lease, ca.fencingToken = lease, token
+	token := revision.Token()
+	ca.lease, ca.fencingToken, ca.era = lease, token, max(era, revision.Era)
 	ca.activeFrom = ca.opts.SinceBoot() + ca.opts.TTL + ca.opts.TTL/safetyDivisor
 	ca.activeUntil = requestedAt + ca.opts.TTL - ca.opts.TTL/safetyDivisor
 	ca.mu.Unlock()
@@ -159,13 +163,14 @@
 		requestedAt := ca.opts.SinceBoot()
 		ca.mu.Lock()
 		lease, activeUntil := ca.lease, ca.activeUntil
+		isRestored := ca.opts.Store.Era() > ca.era
 		ca.mu.Unlock()
 		var err error
-		if ctx.Err() == nil && requestedAt < activeUntil {
+		if ctx.Err() == nil && requestedAt < activeUntil && !isRestored {
 			err = ca.opts.Store.Renew(ctx, lease)
 		}
 		switch {
-		case ctx.Err() != nil, requestedAt >= activeUntil, metastore.IsLeaseEnded(err):
+		case ctx.Err() != nil, requestedAt >= activeUntil, isRestored, metastore.IsLeaseEnded(err):
 			ca.mu.Lock()
 			ca.fencingToken = 0
 			ca.mu.Unlock()
--- a/internal/leadership/leadership_test.go
+++ b/internal/leadership/leadership_test.go
@@ -132,3 +132,20 @@
 	next, _ := second.FencingToken()
 	require.Greater(t, next, token)
 }
+
+// Guards against two leaders of which one holds a lease that a restored store has forgotten.
+func TestHolderGivesUpLeaseWhenStoreIsRestored(t *testing.T) {
+	st := newStore(t)
+	backup := st.Backup()
+	first, _ := startCandidate(t, st, "first", &bootClock{})
+	require.Eventually(t, func() bool { return isActive(first) }, waitTimeout, pollInterval)
+	st.Restore(backup)
+	second, _ := startCandidate(t, st, "second", &bootClock{})
+	seen := false
+	require.Eventually(t, func() bool {
+		isFirst, isSecond := isActive(first), isActive(second)
+		require.False(t, isFirst && isSecond)
+		seen = seen || !isFirst
+		return seen && (isFirst || isSecond)
+	}, waitTimeout, pollInterval)
+}
--- a/internal/metastore/backoff_test.go
+++ b/internal/metastore/backoff_test.go
@@ -26,21 +26,26 @@
 	fakeFeed struct{ covered atomic.Bool }
 )
 
+// at returns the revision of the first era with the given number.
+func at(number uint64) metastore.Revision { return metastore.Revision{Era: 1, Number: number} }
+
 func (*failingStore) List(context.Context, string) (metastore.Snapshot, error) {
-	return metastore.Snapshot{Revision: 1}, nil
+	return metastore.Snapshot{Revision: at(1)}, nil
 }
 
-func (fs *failingStore) Watch(context.Context, string, uint64, time.Duration) (metastore.Changes, error) {
+func (*failingStore) Era() uint64 { return 1 }
+
+func (fs *failingStore) Watch(context.Context, string, metastore.Revision, time.Duration) (metastore.Changes, error) {
 	fs.watches.Add(1)
 	return metastore.Changes{}, metastore.NewUnavailableError("watch", false, errDown)
 }
 
-func (ff *fakeFeed) Next(ctx context.Context, revision uint64) (metastore.Changes, error) {
+func (ff *fakeFeed) Next(ctx context.Context, revision metastore.Revision) (metastore.Changes, error) {
 	if !ff.covered.Load() {
 		return metastore.Changes{}, errDown
 	}
-	if revision == 1 {
-		return metastore.Changes{Events: []metastore.Event{{Item: metastore.Item{Key: "k", Value: []byte("v"), Revision: 2}}}, Revision: 2}, nil
+	if revision == at(1) {
+		return metastore.Changes{Events: []metastore.Event{{Item: metastore.Item{Key: "k", Value: []byte("v"), Revision: at(2)}}}, Revision: at(2)}, nil
 	}
 	<-ctx.Done()
 	return metastore.Changes{}, ctx.Err()
--- a/internal/metastore/error.go
+++ b/internal/metastore/error.go
@@ -23,6 +23,10 @@
 	// CompactedError reports that the store no longer has the history after the requested revision.
 	CompactedError struct{}
 
+	// RestoredError reports that the store has been restored from a copy, so that revisions of the era before say nothing
+	// about its state.
+	RestoredError struct{ era uint64 }
+
 	// LeaseEndedError reports a lease that no longer exists.
 	LeaseEndedError struct{}
 )
@@ -33,6 +37,20 @@
 	return errors.As(err, &ce)
 }
 
+// IsRestored reports whether err, or what it wraps, is a *RestoredError.
+func IsRestored(err error) bool {
+	var re *RestoredError
+	return errors.As(err, &re)
+}
+
+// NewRestoredError returns the error of a call that names a revision of an era before the given one.
+func NewRestoredError(era uint64) *RestoredError { return &RestoredError{era: era} }
+
+// Error returns a message with the era.
+func (e *RestoredError) Error() string {
+	return fmt.Sprintf("metastore: store was restored from a copy, era %d has begun", e.era)
+}
+
 // IsLeaseEnded reports whether err, or what it wraps, is a *LeaseEndedError.
 func IsLeaseEnded(err error) bool {
 	var le *LeaseEndedError
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -33,7 +33,7 @@
 	// goroutine.
 	Follower interface {
 		// ApplySnapshot is called with the complete state at the start, and again after the store has
-		// compacted changes that the follower had not received.
+		// compacted changes that the follower had not received, or has been restored from a copy.
 		ApplySnapshot(sn Snapshot)
 		// ApplyEvent is called with each event, in order.
 		ApplyEvent(ev Event)
@@ -53,14 +53,14 @@
 		// Next returns the changes after revision, and waits for some. It fails if the store must be asked
 		// instead. An error with a method IsStoreLost that returns true also counts as a failed call to the
 		// store. The first result after a failure may be empty.
-		Next(ctx context.Context, revision uint64) (Changes, error)
+		Next(ctx context.Context, revision Revision) (Changes, error)
 	}
 
 	// Relay receives what the store returned, to pass it to other hosts.
 	Relay interface {
 		// Record is called with each response to a watch from revision after that was sent at requestedAt,
 		// a reading of FollowOptions.SinceBoot.
-		Record(after uint64, ch Changes, requestedAt time.Duration)
+		Record(after Revision, ch Changes, requestedAt time.Duration)
 		// RecordFailure is called after each failed call.
 		RecordFailure()
 	}
@@ -91,12 +91,13 @@
 		Relay Relay
 	}
 
-	// followLoop is the state of Follow: the revision up to which all changes have been applied, whether
-	// the complete state has been listed, whether the feed covers it, and the backoff after the next failure.
+	// followLoop is the state of Follow: the revision up to which all changes have been applied, the highest era that was known
+	// when the complete state was listed, whether it has been, whether the feed covers it, and the backoff after the next failure.
 	followLoop struct {
 		opts     FollowOptions
 		fo       Follower
-		revision uint64
+		revision Revision
+		era      uint64
 		synced   bool
 		covered  bool
 		backoff  time.Duration
@@ -104,18 +105,19 @@
 )
 
 // Follow delivers the state below a prefix to a follower until ctx ends. It lists the complete state, watches
-// from its revision, and lists it again when the store has compacted the history in between. It retries failed
+// from its revision, and lists it again when the store has compacted the history in between or was restored. It retries failed
 // calls with backoff. While a feed covers the state, its changes replace the watches.
 func Follow(ctx context.Context, opts FollowOptions, fo Follower) {
 	opts = opts.withDefaults()
 	lp := &followLoop{opts: opts, fo: fo, backoff: minRetryBackoff}
 	for ctx.Err() == nil {
+		lp.synced = lp.synced && opts.Store.Era() <= lp.era
 		if lp.synced && opts.Feed != nil && lp.followFeed(ctx) {
 			continue
 		}
 		pause, err := lp.callStore(ctx)
 		switch {
-		case IsCompacted(err):
+		case IsCompacted(err), IsRestored(err):
 			lp.synced = false
 			continue
 		case err == nil:
@@ -202,12 +204,13 @@
 func (lp *followLoop) callStore(ctx context.Context) (pause time.Duration, err error) {
 	requestedAt := lp.opts.SinceBoot()
 	if !lp.synced {
+		era := lp.opts.Store.Era()
 		sn, err := lp.opts.Store.List(ctx, lp.opts.Prefix)
 		if err != nil {
 			return 0, err
 		}
 		lp.fo.ApplySnapshot(sn)
-		lp.revision, lp.synced = sn.Revision, true
+		lp.revision, lp.era, lp.synced = sn.Revision, max(era, sn.Revision.Era), true
 		lp.fo.CallSucceeded(requestedAt)
 		return 0, nil
 	}
@@ -236,5 +239,5 @@
 	for _, ev := range ch.Events {
 		lp.fo.ApplyEvent(ev)
 	}
-	lp.revision = max(lp.revision, ch.Revision)
+	lp.revision = lp.revision.Latest(ch.Revision)
 }
--- a/internal/metastore/follow_test.go
+++ b/internal/metastore/follow_test.go
@@ -110,7 +110,7 @@
 	sn, err := platform.NewMetadataStore(st.Address(), nil).List(context.Background(), "page/")
 	require.NoError(t, err)
 	require.Len(t, sn.Items, 350)
-	require.Equal(t, st.Revision(), sn.Revision)
+	require.Equal(t, metastore.Revision{Era: st.Era(), Number: st.Revision()}, sn.Revision)
 }
 
 func TestCommitErrorsReportUncertainty(t *testing.T) {
@@ -144,7 +144,7 @@
 	require.True(t, metastore.IsLeaseEnded(err))
 	require.True(t, metastore.IsLeaseEnded(client.Renew(ctx, 99)))
 	st.CompactHistory()
-	_, err = client.Watch(ctx, "", 0, time.Millisecond)
+	_, err = client.Watch(ctx, "", at(0), time.Millisecond)
 	require.True(t, metastore.IsCompacted(err))
 }
 
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -18,7 +18,7 @@
 		// Value is the content. Readers must not modify it.
 		Value []byte
 		// Revision is the revision of the last change; zero means that the key is absent.
-		Revision uint64
+		Revision Revision
 		// Lease is the lease that removes the key when it ends; zero means none.
 		Lease uint64
 	}
@@ -36,7 +36,7 @@
 		// Items are sorted by key.
 		Items []Item
 		// Revision is the revision to pass to a watch so that it misses no change.
-		Revision uint64
+		Revision Revision
 	}
 
 	// Changes is the result of a watch.
@@ -44,15 +44,16 @@
 		// Events are sorted by revision. There are none if nothing changed during the wait.
 		Events []Event
 		// Revision is the revision to pass to the next watch.
-		Revision uint64
+		Revision Revision
 	}
 
 	// Precondition is a condition of a transaction.
 	Precondition struct {
 		// Key is the key of the item.
 		Key string
-		// Revision is the revision that the item must have; zero means that it must be absent.
-		Revision uint64
+		// Revision is the revision that the item must have; zero means that it must be absent. The store compares the
+		// numbers only.
+		Revision Revision
 	}
 
 	// Put writes one item.
@@ -84,16 +85,20 @@
 		List(ctx context.Context, prefix string) (Snapshot, error)
 		// Watch returns the changes after revision to keys that begin with prefix. If there are none yet,
 		// it waits for one, but no longer than wait. It fails with a *CompactedError if that history was
-		// compacted.
-		Watch(ctx context.Context, prefix string, revision uint64, wait time.Duration) (Changes, error)
+		// compacted, and with a *RestoredError if the store has been restored from a copy since.
+		Watch(ctx context.Context, prefix string, revision Revision, wait time.Duration) (Changes, error)
 		// Commit applies a transaction and returns its revision. It fails with a *ConflictError if
 		// a condition does not hold and with a *LeaseEndedError if a lease has ended.
-		Commit(ctx context.Context, tx Transaction) (uint64, error)
+		Commit(ctx context.Context, tx Transaction) (Revision, error)
 		// Grant starts a lease and returns its identifier.
 		Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 		// Renew extends a lease by its TTL. It fails with a *LeaseEndedError if the lease has ended.
 		Renew(ctx context.Context, lease uint64) error
 		// Revoke ends a lease and removes the keys attached to it.
 		Revoke(ctx context.Context, lease uint64) error
+		// Era returns the highest era that a response, or a call of LearnEra, has named; zero if none has.
+		Era() uint64
+		// LearnEra states that another host knows of an era. Watches from a revision of an earlier one end.
+		LearnEra(era uint64)
 	}
 )
--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -44,7 +44,7 @@
 
 // logFeedChange logs that this host follows a relay from now on, or why it watches the metadata store itself.
 func (no *Node) logFeedChange(err error) {
-	lg := no.log.WithField("revision", no.storeState.seenRevision.Load())
+	lg := no.log.WithField("revision", no.storeState.seen().String())
 	if err != nil {
 		lg.WithField("cause", err.Error()).Info("Change feed is not used.")
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,13 +123,15 @@
 		stopping  atomic.Bool
 
 		reclaimer *reclaimer
+		// reregister receives a value when the registration may be lost.
+		reregister chan struct{}
 		// registeredUntil is the time since boot, in nanoseconds, until which the registration is valid.
 		registeredUntil atomic.Int64
 
 		mu sync.Mutex
 		// peerSeenRevisions holds, by host name, the revision up to which a peer has seen all changes of the
 		// metadata store.
-		peerSeenRevisions map[string]uint64
+		peerSeenRevisions map[string]metastore.Revision
 	}
 )
 
@@ -138,9 +140,10 @@
 	ck := clock.System()
 	no := &Node{
 		st: st, deps: deps, ck: ck, log: lg,
-		peerSeenRevisions: make(map[string]uint64),
+		peerSeenRevisions: make(map[string]metastore.Revision),
 		pool:              attempt.NewPool(attempt.Options{Clock: ck, OnOpen: deps.Meter.ConnectionOpened}),
 		cache:             cachedir.New(ck),
+		reregister:        make(chan struct{}, 1),
 		quarantine:        quarantine.NewTracker(ck),
 	}
 	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnLimitChange: no.noteLimitChange})
@@ -151,7 +154,8 @@
 	no.storeState = &storeState{
 		log: lg.WithField("part", "state"), decoder: deps.Decoder, fleet: no.fleet, host: st.Name,
 		applyCatalog: no.applyCatalog, applyPeers: no.setPeers,
-		hosts: make(map[string]peering.Peer),
+		hosts: make(map[string]peering.Peer), clock: ck, onRestored: no.noteRestored,
+		evacuated: make(map[string]bool), retainedZones: make(map[string]time.Time), retainedHosts: make(map[string]time.Time),
 	}
 	no.storeState.targets = weights.New(weights.Options{
 		Clock: ck, SinceBoot: clock.SinceBoot, Store: deps.Store, RecordPrefix: prefixTargets, CheckpointKey: keyCheckpoint,
@@ -173,7 +177,7 @@
 	no.feedSubscriber = changefeed.NewSubscriber(changefeed.SubscriberOptions{
 		Clock: ck, MaxAge: no.maxFeedAge, Disabled: func() bool { return no.exchange.IsZoneAggregator() },
 	})
-	no.reclaimer = &reclaimer{no: no}
+	no.reclaimer = &reclaimer{no: no, settlesAt: clock.SinceBoot() + registrationTTL}
 	no.storeState.applyGates = no.reclaimer.setGates
 	no.cache.SetFetchPermit(no.canFetch)
 	no.storeState.setTargetVersion, no.storeState.onLeaderGone = no.upgrades.SetTarget, no.leaderLease.NotifyVacant
@@ -374,13 +378,15 @@
 
 // revisionSeenByAll returns the revision of the metadata store up to which every registered host has
 // seen all changes.
-func (no *Node) revisionSeenByAll() uint64 {
+func (no *Node) revisionSeenByAll() metastore.Revision {
 	no.mu.Lock()
 	defer no.mu.Unlock()
-	revision := no.storeState.seenRevision.Load()
+	revision := no.storeState.seen()
 	for _, name := range no.storeState.hostNames() {
 		if name != no.st.Name {
-			revision = min(revision, no.peerSeenRevisions[name])
+			if seen := no.peerSeenRevisions[name]; seen.Before(revision) {
+				revision = seen
+			}
 		}
 	}
 	return revision
--- a/internal/node/reclaim.go
+++ b/internal/node/reclaim.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bergamotway/bergamotway/internal/cachedir"
+	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 )
 
@@ -47,6 +48,17 @@
 	fetchGrant  cachedir.FetchGrant
 	// unreadable is set while the newest gates cannot be decoded, and so cannot be enforced.
 	unreadable bool
+	// settlesAt is the reading of the boot-time clock from which gates may settle: when all registrations that this host may
+	// not know of, from before it started or the store was restored from a copy, have expired.
+	settlesAt time.Duration
+}
+
+// restore states that the store was restored from a copy.
+func (rc *reclaimer) restore() {
+	rc.mu.Lock()
+	defer rc.mu.Unlock()
+	rc.gateHistory.Restore()
+	rc.settlesAt = clock.SinceBoot() + registrationTTL
 }
 
 // setGates applies the gates from the metadata store.
@@ -57,6 +69,7 @@
 	rc.unreadable = err != nil
 	if err == nil {
 		rc.gateHistory.Record(ga, it.Revision)
+		ga = rc.gateHistory.InForce()
 	}
 	rc.mu.Unlock()
 	if err != nil {
@@ -67,7 +80,7 @@
 }
 
 // gatesRevision returns the revision of the newest gates, zero if there are none.
-func (rc *reclaimer) gatesRevision() uint64 {
+func (rc *reclaimer) gatesRevision() metastore.Revision {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	_, gatesRevision := rc.gateHistory.Last()
@@ -76,7 +89,7 @@
 
 // extendFetchGrant extends the fetch grant of this host after a report of a registered host. PeerRevision is the
 // revision of the newest gates that the peer knew at clock, in milliseconds of the endpoints' clock.
-func (rc *reclaimer) extendFetchGrant(peerRevision uint64, clock int64) {
+func (rc *reclaimer) extendFetchGrant(peerRevision metastore.Revision, clock int64) {
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
 	_, ownRevision := rc.gateHistory.Last()
@@ -126,10 +139,12 @@
 		return
 	}
 	rc.mu.Lock()
-	current, revision := rc.gateHistory.Last()
+	stored, revision := rc.gateHistory.Last()
+	next := maps.Clone(rc.gateHistory.InForce())
 	rc.mu.Unlock()
-	next := make(cachedir.Gates, len(current))
-	maps.Copy(next, current)
+	if next == nil {
+		next = make(cachedir.Gates)
+	}
 	for _, salt := range salts {
 		model, version, ok := cachedir.ParseSalt(salt)
 		if !ok || version >= rc.no.storeState.targets.Target(model) {
@@ -137,7 +152,7 @@
 		}
 		next[salt] = next.Lower(salt, rc.openShare(model, version), func() []string { return rc.no.cache.HotParts(salt, maxHotParts) })
 	}
-	if maps.EqualFunc(next, current, func(a, b cachedir.Gate) bool { return a.Open == b.Open }) {
+	if maps.EqualFunc(next, stored, func(a, b cachedir.Gate) bool { return a.Open == b.Open }) {
 		return
 	}
 	value, err := json.Marshal(next)
@@ -181,6 +196,9 @@
 	seenRevision := rc.no.revisionSeenByAll()
 	rc.mu.Lock()
 	defer rc.mu.Unlock()
+	if clock.SinceBoot() < rc.settlesAt {
+		return nil, false
+	}
 	return rc.gateHistory.Settled(seenRevision, rc.no.ck.Now(), fetchDrainTime)
 }
 
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/metastore"
@@ -34,6 +35,10 @@
 		case metastore.IsLeaseEnded(err):
 			lease = 0
 		}
+		pause := registrationRenewInterval
+		if lease == 0 && metastore.IsLeaseEnded(err) {
+			pause = rand.N(maxReregisterDelay)
+		}
 		select {
 		case <-ctx.Done():
 			if lease != 0 {
@@ -41,7 +46,14 @@
 				_ = no.deps.Store.Revoke(context.WithoutCancel(ctx), lease)
 			}
 			return
-		case <-no.ck.After(registrationRenewInterval):
+		case <-no.ck.After(pause):
+		case <-no.reregister:
+			// The copy may have the lease, and lack the item.
+			lease = 0
+			select {
+			case <-ctx.Done():
+			case <-no.ck.After(rand.N(maxReregisterDelay)):
+			}
 		}
 	}
 }
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -32,7 +32,7 @@
 // LocalDigest returns a digest of the state that this host has observed itself.
 func (ds *digestSource) LocalDigest() peering.Digest {
 	no := (*Node)(ds)
-	dg := peering.Digest{Host: no.st.Name, AppliedRevision: no.storeState.seenRevision.Load(), UnreachableBy: no.fleet.DownEndpoints()}
+	dg := peering.Digest{Host: no.st.Name, AppliedRevision: no.storeState.seen(), UnreachableBy: no.fleet.DownEndpoints()}
 	for id, ld := range no.fleet.OwnLoads() {
 		dg.Loads = append(dg.Loads, peering.Load{Endpoint: peering.KeyOf(id), Requests: ld.Requests, Tokens: ld.Tokens, PrefillTokens: ld.PrefillTokens})
 	}
@@ -56,7 +56,8 @@
 	// The clock is read before the revision of the gates: if the gates change in between, peers get a
 	// shorter grant or none, never a longer one.
 	if clock := no.cache.Clock(); clock > 0 && no.isRegistered() {
-		dg.EndpointClockMs, dg.GateRevisionPlusOne = clock, no.reclaimer.gatesRevision()+1
+		revision := no.reclaimer.gatesRevision()
+		dg.EndpointClockMs, dg.GateRevision = clock, &revision
 	}
 	crashes, cleared := no.quarantine.RecentChanges()
 	for _, cr := range crashes {
@@ -115,6 +116,7 @@
 // HandleDigest merges a digest from a peer.
 func (ds *digestSource) HandleDigest(dg peering.Digest) {
 	no := (*Node)(ds)
+	no.learnEra(dg)
 	if dg.Feed != nil {
 		no.feedSubscriber.Offer(dg.Host, *dg.Feed)
 	}
@@ -168,8 +170,8 @@
 		no.quarantine.ClearSuspect(quarantine.Fingerprint(fp))
 	}
 	no.mergePartState(dg)
-	if dg.GateRevisionPlusOne > 0 {
-		no.reclaimer.extendFetchGrant(dg.GateRevisionPlusOne-1, dg.EndpointClockMs)
+	if dg.GateRevision != nil {
+		no.reclaimer.extendFetchGrant(*dg.GateRevision, dg.EndpointClockMs)
 	}
 	if no.exchange.FollowsCacheStores() {
 		return
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bergamotway/bergamotway/internal/catalog"
+	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
@@ -84,7 +85,16 @@
 		// hasLeader reports whether the upgrade leader's item exists.
 		hasLeader atomic.Bool
 		// seenRevision is the revision up to which all changes have been applied.
-		seenRevision atomic.Uint64
+		seenRevision atomic.Pointer[metastore.Revision]
+		// clock is the source of time for what is retained.
+		clock clock.Clock
+		// onRestored is called before a snapshot of a store that was restored from a copy is applied.
+		onRestored func()
+		// evacuated holds the evacuated zones. retainedZones and retainedHosts hold the zones and hosts that the copy of a restored
+		// store did not have, and until when they remain evacuated and registered.
+		evacuated     map[string]bool
+		retainedZones map[string]time.Time
+		retainedHosts map[string]time.Time
 	}
 )
 
@@ -107,7 +117,13 @@
 	evacuated := make(map[string]bool)
 	hosts := make(map[string]peering.Peer)
 	leaderFound := false
+	isRestored := ss.isRestored(sn)
 	ss.targets.Interrupt()
+	if isRestored {
+		ss.targets.Restore()
+		ss.verdicts.Restore()
+		ss.onRestored()
+	}
 	// The records and the checkpoint say how old the selected versions may be.
 	for _, it := range sn.Items {
 		ss.applyHostItem(it)
@@ -135,39 +151,44 @@
 		leaderFound = leaderFound || it.Key == keyUpgradeLeader
 		ss.applyOperatorItem(it)
 	}
-	ss.fleet.Replace(entries)
+	ss.retainMissing(isRestored, evacuated, hosts)
+	if isRestored {
+		ss.fleet.ReplaceRestored(entries)
+	} else {
+		ss.fleet.Replace(entries)
+	}
+	ss.evacuated = evacuated
 	ss.fleet.SetEvacuatedZones(evacuated)
 	ss.setHosts(hosts)
-	ss.seenRevision.Store(sn.Revision)
+	ss.seenRevision.Store(&sn.Revision)
 	ss.hasLeader.Store(leaderFound)
 	if !leaderFound {
 		ss.onLeaderGone()
 	}
 	ss.log.WithFields(logrus.Fields{
-		"revision": sn.Revision, "endpoints": len(entries), "hosts": len(hosts),
+		"revision": sn.Revision.String(), "endpoints": len(entries), "hosts": len(hosts),
 	}).Info("State was read whole.")
 }
 
 // ApplyEvent applies a change of one item of the store.
 func (ss *storeState) ApplyEvent(ev metastore.Event) {
 	it := ev.Item
-	defer func() { ss.seenRevision.Store(max(ss.seenRevision.Load(), it.Revision)) }()
+	defer func() {
+		seen := ss.seen().Latest(it.Revision)
+		ss.seenRevision.Store(&seen)
+	}()
 	if id, ok := ss.decoder.EndpointID(it.Key); ok {
 		ss.applyEndpoint(id, ev)
 		return
 	}
 	if kind, subject := ss.decoder.ClassifyItem(it.Key); kind == ItemEvacuation {
-		ss.fleet.SetEvacuated(subject, !ev.Removed)
-		ss.log.WithFields(logrus.Fields{"zone": subject, "on": !ev.Removed, "revision": it.Revision}).Info("Evacuation changed.")
+		ss.setEvacuated(subject, !ev.Removed)
+		ss.log.WithFields(logrus.Fields{"zone": subject, "on": !ev.Removed, "revision": it.Revision.String()}).Info("Evacuation changed.")
 		return
 	}
 	if name, ok := strings.CutPrefix(it.Key, prefixHosts); ok {
-		ss.mu.Lock()
-		hosts := make(map[string]peering.Peer, len(ss.hosts)+1)
-		for k, v := range ss.hosts {
-			hosts[k] = v
-		}
-		ss.mu.Unlock()
+		hosts := ss.knownHosts()
+		delete(ss.retainedHosts, name)
 		if pe, ok := ss.decodePeer(name, it.Value); ok && !ev.Removed {
 			hosts[name] = pe
 		} else {
@@ -195,7 +216,8 @@
 
 // CallSucceeded records that the store has answered and its changes up to confirmedAt have been applied.
 func (ss *storeState) CallSucceeded(confirmedAt time.Duration) {
-	ss.targets.Confirm(ss.seenRevision.Load(), confirmedAt)
+	ss.endRetention()
+	ss.targets.Confirm(ss.seen(), confirmedAt)
 	if outage := ss.fleet.StoreReached(); outage > 0 || ss.unreachable {
 		ss.unreachable = false
 		ss.log.WithFields(logrus.Fields{"dependency": "metadata-store", "away-ms": outage.Milliseconds()}).Info("Dependency is back.")
@@ -213,7 +235,7 @@
 }
 
 func (ss *storeState) applyEndpoint(id string, ev metastore.Event) {
-	fields := logrus.Fields{"endpoint": id, "revision": ev.Item.Revision}
+	fields := logrus.Fields{"endpoint": id, "revision": ev.Item.Revision.String()}
 	if ev.Removed {
 		ss.fleet.Remove(id)
 		ss.log.WithFields(fields).Info("Endpoint's entry was removed.")
--- a/internal/peering/frame_test.go
+++ b/internal/peering/frame_test.go
@@ -9,13 +9,17 @@
 	"pgregory.net/rapid"
 
 	"github.com/bergamotway/bergamotway/internal/changefeed"
+	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
 )
 
+// at returns the revision of the first era with the given number.
+func at(number uint64) metastore.Revision { return metastore.Revision{Era: 1, Number: number} }
+
 // largeTotal is the total of a fleet with 204 engines and 43 cache stores.
 func largeTotal() peering.Digest {
-	dg := peering.Digest{Host: "host-1", Tier: peering.TierTotal, Sequence: 12345678, AppliedRevision: 99999, IntervalMs: 100}
-	dg.Feed = &changefeed.Update{From: 99990, To: 99999, AgeMs: 120}
+	dg := peering.Digest{Host: "host-1", Tier: peering.TierTotal, Sequence: 12345678, AppliedRevision: at(99999), IntervalMs: 100}
+	dg.Feed = &changefeed.Update{From: at(99990), To: at(99999), AgeMs: 120}
 	for i := range 247 {
 		dg.Loads = append(dg.Loads, peering.Load{Endpoint: peering.KeyOf(fmt.Sprint("endpoint-", i)), Requests: 12, Tokens: 40000, PrefillTokens: 3000})
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -17,6 +17,7 @@
 
 	"github.com/bergamotway/bergamotway/internal/changefeed"
 	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/metastore"
 )
 
 const (
@@ -141,14 +142,14 @@
 		Zone string `json:"z,omitempty"`
 		// HostRevisions maps each host that the digest covers to its AppliedRevision. It is empty in
 		// digests of a single host and in most totals.
-		HostRevisions map[string]uint64 `json:"o,omitempty"`
+		HostRevisions map[string]metastore.Revision `json:"o,omitempty"`
 		// CacheStores holds the states of the cache stores. Only aggregators set it.
 		CacheStores []CacheStoreState `json:"k,omitempty"`
 		// CacheChanges holds the latest changes to the contents of the cache stores. Only aggregators set it.
 		CacheChanges []PartChanges `json:"p,omitempty"`
-		// GateRevisionPlusOne is the revision of the newest cache gates that the host has, plus one. It is zero if the
-		// host is not registered in the metadata store.
-		GateRevisionPlusOne uint64 `json:"g,omitempty"`
+		// GateRevision is the revision of the newest cache gates that the host has. It is nil if the host is not registered
+		// in the metadata store.
+		GateRevision *metastore.Revision `json:"y,omitempty"`
 		// EndpointClockMs is the endpoints' clock in milliseconds, read just before the revision of the gates.
 		EndpointClockMs int64 `json:"c,omitempty"`
 
@@ -163,7 +164,7 @@
 		// Sequence increases with each digest of the sender.
 		Sequence uint64 `json:"n"`
 		// AppliedRevision is the metadata store revision up to which the host has applied all changes.
-		AppliedRevision uint64 `json:"s,omitempty"`
+		AppliedRevision metastore.Revision `json:"s,omitzero"`
 		// UnreachableBy counts, by endpoint identifier, the hosts that cannot reach an endpoint.
 		UnreachableBy map[string]int    `json:"d,omitempty"`
 		Loads         Loads             `json:"l,omitempty"`
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
 )
 
@@ -30,7 +31,7 @@
 
 	mu            sync.Mutex
 	loadsBySender map[string]map[peering.Key]int
-	revisions     map[string]uint64
+	revisions     map[string]metastore.Revision
 	// extra is added to the digests that the host sends, and last is the last one that it received.
 	extra, last peering.Digest
 }
@@ -39,7 +40,7 @@
 	ho.mu.Lock()
 	defer ho.mu.Unlock()
 	dg := ho.extra
-	dg.Host, dg.AppliedRevision, dg.Loads = ho.name, 7, peering.Loads{{Endpoint: engineKey, Requests: 1}}
+	dg.Host, dg.AppliedRevision, dg.Loads = ho.name, at(7), peering.Loads{{Endpoint: engineKey, Requests: 1}}
 	return dg
 }
 
@@ -101,7 +102,7 @@
 		require.NoError(t, err)
 		pe.Address = netip.MustParseAddrPort(ex.Address())
 		peers[i] = pe
-		hosts[i] = &host{name: pe.Name, exchange: ex, loadsBySender: make(map[string]map[peering.Key]int), revisions: make(map[string]uint64)}
+		hosts[i] = &host{name: pe.Name, exchange: ex, loadsBySender: make(map[string]map[peering.Key]int), revisions: make(map[string]metastore.Revision)}
 	}
 	for i, ho := range hosts {
 		var others []peering.Peer
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/rendezvous"
 )
 
@@ -88,7 +89,7 @@
 	weights := make(map[EndpointWeights]bool)
 	crashes := make(map[string]CrashReport)
 	cleared := make(map[string]bool)
-	out.HostRevisions = make(map[string]uint64)
+	out.HostRevisions = make(map[string]metastore.Revision)
 	out.UnreachableBy = make(map[string]int)
 	for _, dg := range digests {
 		for _, ld := range dg.Loads {
@@ -112,7 +113,7 @@
 			out.UnreachableBy[id] += count
 		}
 		for name, revision := range dg.HostRevisions {
-			out.HostRevisions[name] = max(out.HostRevisions[name], revision)
+			out.HostRevisions[name] = revision.Latest(out.HostRevisions[name])
 		}
 		if dg.Tier == TierDirect || dg.Tier == TierReport {
 			out.HostRevisions[dg.Host] = dg.AppliedRevision
@@ -358,7 +359,7 @@
 	}
 	total := mergeDigests(zoneSums...)
 	total.Host, total.Tier, total.IntervalMs = ex.self.Name, TierTotal, ex.nextInterval().Milliseconds()
-	total.GateRevisionPlusOne, total.EndpointClockMs = own.GateRevisionPlusOne, own.EndpointClockMs
+	total.GateRevision, total.EndpointClockMs = own.GateRevision, own.EndpointClockMs
 	if ex.isStrong() {
 		state := drainZoneState()
 		total.CacheStores, total.CacheChanges, total.Feed = state.CacheStores, state.CacheChanges, state.Feed
@@ -386,7 +387,7 @@
 	localTotal := total
 	localTotal.HostRevisions, localTotal.Weights = revisions, weights
 	localTotal.Loads = subtractLoads(total.Loads, own.Loads)
-	localTotal.CacheStores, localTotal.CacheChanges, localTotal.Feed, localTotal.GateRevisionPlusOne = nil, nil, nil, 0
+	localTotal.CacheStores, localTotal.CacheChanges, localTotal.Feed, localTotal.GateRevision = nil, nil, nil, nil
 	return []outgoing{{digest: zoneSum, peers: ex.zone.otherAggregators}, {digest: total, peers: totalRecipients}}, &localTotal
 }
 
--- a/internal/verdicts/host_test.go
+++ b/internal/verdicts/host_test.go
@@ -38,6 +38,8 @@
 		// commits counts the transactions that were applied, conflicts those whose conditions did not hold.
 		commits, conflicts int
 		isDown             bool
+		// restores counts how often the store was restored from a copy.
+		restores uint64
 	}
 
 	// host is a process that follows a memory store: it applies changes as soon as deliver is called.
@@ -61,17 +63,20 @@
 	}
 )
 
+// at returns the revision of the first era with the given number.
+func at(number uint64) metastore.Revision { return metastore.Revision{Era: 1, Number: number} }
+
 // Commit applies a transaction if its conditions hold.
-func (st *memoryStore) Commit(_ context.Context, tx metastore.Transaction) (uint64, error) {
+func (st *memoryStore) Commit(_ context.Context, tx metastore.Transaction) (metastore.Revision, error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.isDown {
-		return 0, metastore.NewUnavailableError("commit", false, errDown)
+		return metastore.Revision{}, metastore.NewUnavailableError("commit", false, errDown)
 	}
 	for _, pc := range tx.Preconditions {
 		if st.items[pc.Key].Revision != pc.Revision {
 			st.conflicts++
-			return 0, &metastore.ConflictError{}
+			return metastore.Revision{}, &metastore.ConflictError{}
 		}
 	}
 	st.commits++
@@ -81,18 +86,40 @@
 	for _, key := range tx.Removals {
 		st.remove(key)
 	}
-	return uint64(len(st.history)), nil
+	return st.at(len(st.history)), nil
 }
 
 func (st *memoryStore) put(key string, value []byte) {
-	it := metastore.Item{Key: key, Value: value, Revision: uint64(len(st.history) + 1)}
+	it := metastore.Item{Key: key, Value: value, Revision: st.at(len(st.history) + 1)}
 	st.items[key] = it
 	st.history = append(st.history, metastore.Event{Item: it})
 }
 
 func (st *memoryStore) remove(key string) {
 	delete(st.items, key)
-	st.history = append(st.history, metastore.Event{Item: metastore.Item{Key: key, Revision: uint64(len(st.history) + 1)}, Removed: true})
+	st.history = append(st.history, metastore.Event{Item: metastore.Item{Key: key, Revision: st.at(len(st.history) + 1)}, Removed: true})
+}
+
+// at returns the revision with the given number in the current era.
+func (st *memoryStore) at(number int) metastore.Revision {
+	return metastore.Revision{Era: 1 + st.restores, Number: uint64(number)}
+}
+
+// backup returns a function that restores the store from a copy of its current state, after which the hosts read it whole.
+func (hs *hosts) backup() (restore func()) {
+	hs.st.mu.Lock()
+	defer hs.st.mu.Unlock()
+	items, history := maps.Clone(hs.st.items), slices.Clone(hs.st.history)
+	return func() {
+		hs.st.mu.Lock()
+		hs.st.items, hs.st.history = items, history
+		hs.st.restores++
+		hs.st.mu.Unlock()
+		for _, ho := range hs.all {
+			ho.records.Restore()
+			ho.list()
+		}
+	}
 }
 
 // write writes an item as an operator does.
@@ -114,7 +141,7 @@
 func (st *memoryStore) snapshot() (sn metastore.Snapshot, events int) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return metastore.Snapshot{Items: slices.Collect(maps.Values(st.items)), Revision: uint64(len(st.history))}, len(st.history)
+	return metastore.Snapshot{Items: slices.Collect(maps.Values(st.items)), Revision: st.at(len(st.history))}, len(st.history)
 }
 
 // parts returns the parts that have items.
--- a/internal/verdicts/records.go
+++ b/internal/verdicts/records.go
@@ -67,19 +67,21 @@
 		cleared map[string]time.Time
 		// dueSince holds since when a change of an item has been due.
 		dueSince map[string]time.Time
+		// isRestored is set until the first snapshot after the store was restored from a copy has been applied.
+		isRestored bool
 	}
 
 	// item is an item as of a revision. Its verdict is zero if it could not be decoded.
 	item struct {
 		verdict  quarantine.Verdict
-		revision uint64
+		revision metastore.Revision
 	}
 
 	// change is a change of an item that is due: a removal, or a write of the verdict.
 	change struct {
 		key       string
 		verdict   quarantine.Verdict
-		revision  uint64
+		revision  metastore.Revision
 		isRemoval bool
 	}
 )
@@ -105,6 +107,17 @@
 			re.applyRemoval(key, sn.Revision)
 		}
 	}
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.isRestored = false
+}
+
+// Restore states that the store was restored from a copy. The snapshot that is applied after that has the items of the copy;
+// what it lacks was not removed, and is written again while the verdict is in force.
+func (re *Records) Restore() {
+	re.mu.Lock()
+	defer re.mu.Unlock()
+	re.items, re.isRestored = make(map[string]item), true
 }
 
 // ApplyEvent applies a change of an item. It ignores items of others.
@@ -168,18 +181,20 @@
 func (re *Records) adopt(key string, it item) bool {
 	re.mu.Lock()
 	defer re.mu.Unlock()
-	if it.revision <= re.items[key].revision {
+	if !it.revision.After(re.items[key].revision) {
 		return false
 	}
 	re.items[key] = it
-	if it.verdict.Part == "" || !it.verdict.ByOperator && re.isCleared(key, it.verdict) {
+	// What an operator writes counts even if the part was cleared before, unless it is from before, as in a copy.
+	isOld := re.isRestored || !it.verdict.ByOperator
+	if it.verdict.Part == "" || isOld && re.isCleared(key, it.verdict) {
 		return false
 	}
 	delete(re.cleared, key)
 	return true
 }
 
-func (re *Records) applyRemoval(key string, revision uint64) {
+func (re *Records) applyRemoval(key string, revision metastore.Revision) {
 	part, ok := re.forget(key, revision)
 	if !ok {
 		return
@@ -192,11 +207,11 @@
 
 // forget deletes an item that was removed. It returns its part if that is to be released: the part was not cleared
 // here before, nor had the verdict expired.
-func (re *Records) forget(key string, revision uint64) (part string, ok bool) {
+func (re *Records) forget(key string, revision metastore.Revision) (part string, ok bool) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	it, ok := re.items[key]
-	if !ok || it.revision >= revision {
+	if !ok || !it.revision.Before(revision) {
 		return "", false
 	}
 	delete(re.items, key)
@@ -339,11 +354,11 @@
 }
 
 // noteCommitted applies an own change, unless a newer one has been applied already.
-func (re *Records) noteCommitted(ch change, revision uint64) {
+func (re *Records) noteCommitted(ch change, revision metastore.Revision) {
 	re.mu.Lock()
 	defer re.mu.Unlock()
 	switch {
-	case re.items[ch.key].revision >= revision:
+	case !re.items[ch.key].revision.Before(revision):
 	case ch.isRemoval:
 		delete(re.items, ch.key)
 	default:
--- a/internal/verdicts/records_test.go
+++ b/internal/verdicts/records_test.go
@@ -213,10 +213,10 @@
 	value, err := verdicts.Encode(hs.verdict("deadly", 1))
 	require.NoError(t, err)
 	for _, it := range []metastore.Item{
-		{Key: prefix + "a", Value: []byte("{"), Revision: 1},
-		{Key: prefix + "b", Value: []byte(`{"part":"%zz"}`), Revision: 2},
-		{Key: prefix + "c", Value: value, Revision: 3},
-		{Key: prefix + "d", Revision: 4},
+		{Key: prefix + "a", Value: []byte("{"), Revision: at(1)},
+		{Key: prefix + "b", Value: []byte(`{"part":"%zz"}`), Revision: at(2)},
+		{Key: prefix + "c", Value: value, Revision: at(3)},
+		{Key: prefix + "d", Revision: at(4)},
 	} {
 		hs.all[0].logs.Reset()
 		hs.all[0].records.ApplyEvent(metastore.Event{Item: it})
@@ -249,3 +249,24 @@
 	require.NoError(t, err)
 	require.Equal(t, now, ve.LastCrash)
 }
+
+// Guards against a part that crashes endpoints again because the store was restored from a copy without its verdict, and
+// against a block that an operator had removed and the copy still has.
+func TestVerdictsRemainWhenStoreIsRestored(t *testing.T) {
+	hs := startHosts(t, 3)
+	operators := hs.verdict("unblocked", 1)
+	operators.ByOperator = true
+	hs.st.write(t, operators)
+	hs.run(time.Second)
+	restore := hs.backup()
+	hs.all[0].tracker.Merge(hs.verdict("deadly", 1))
+	hs.run(5 * time.Second)
+	hs.st.erase("unblocked")
+	hs.run(time.Second)
+	hs.requireVerdicts("deadly")
+	restore()
+	hs.requireVerdicts("deadly")
+	hs.run(10 * time.Second)
+	hs.requireVerdicts("deadly")
+	require.Equal(t, []string{"deadly"}, hs.st.parts(t))
+}
--- a/internal/weights/checkpoint.go
+++ b/internal/weights/checkpoint.go
@@ -15,7 +15,7 @@
 	}
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
-	if it.Revision > ta.checkpoint.itemRevision {
+	if it.Revision.After(ta.checkpoint.itemRevision) {
 		ta.checkpoint = checkpoint{
 			itemRevision: it.Revision, revision: sc.Revision, at: ta.fromUnixMilli(sc.AtMs), seenAt: ta.opts.SinceBoot(),
 		}
@@ -29,7 +29,7 @@
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	interval := checkpointInterval
-	if ta.checkpoint.itemRevision == 0 {
+	if ta.checkpoint.itemRevision.IsZero() {
 		interval = 0
 	}
 	if ta.isInterrupted || ta.opts.SinceBoot()-ta.checkpoint.seenAt < interval+ta.opts.RecordDelay() {
--- a/internal/weights/host_test.go
+++ b/internal/weights/host_test.go
@@ -33,6 +33,7 @@
 
 		mu       sync.Mutex
 		revision uint64
+		restores uint64
 		items    map[string]metastore.Item
 		commits  int
 		// onCommit is called between a commit and its response; it may be nil.
@@ -44,7 +45,7 @@
 		t       *testing.T
 		st      *memoryStore
 		targets *weights.Targets
-		applied uint64
+		applied metastore.Revision
 		stop    func()
 		// sinceBoot is the boot-time clock of the machine.
 		sinceBoot func() time.Duration
@@ -63,10 +64,13 @@
 
 func (sc steppedClock) Now() time.Time { return sc.FakeClock.Now().Add(sc.ho.clockStep) }
 
+// at returns the revision of the first era with the given number.
+func at(number uint64) metastore.Revision { return metastore.Revision{Era: 1, Number: number} }
+
 func newMemoryStore() *memoryStore { return &memoryStore{items: make(map[string]metastore.Item)} }
 
 // Commit applies a transaction if its conditions hold.
-func (st *memoryStore) Commit(_ context.Context, tx metastore.Transaction) (uint64, error) {
+func (st *memoryStore) Commit(_ context.Context, tx metastore.Transaction) (metastore.Revision, error) {
 	revision, err := st.apply(tx)
 	if err == nil && st.onCommit != nil {
 		st.onCommit(tx)
@@ -74,20 +78,40 @@
 	return revision, err
 }
 
-func (st *memoryStore) apply(tx metastore.Transaction) (uint64, error) {
+func (st *memoryStore) apply(tx metastore.Transaction) (metastore.Revision, error) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	for _, pc := range tx.Preconditions {
 		if st.items[pc.Key].Revision != pc.Revision {
-			return 0, &metastore.ConflictError{}
+			return metastore.Revision{}, &metastore.ConflictError{}
 		}
 	}
 	st.revision++
 	st.commits++
 	for _, pu := range tx.Puts {
-		st.items[pu.Key] = metastore.Item{Key: pu.Key, Value: pu.Value, Revision: st.revision}
+		st.items[pu.Key] = metastore.Item{Key: pu.Key, Value: pu.Value, Revision: st.at(st.revision)}
 	}
-	return st.revision, nil
+	return st.at(st.revision), nil
+}
+
+// at returns the revision with the given number in the current era.
+func (st *memoryStore) at(number uint64) metastore.Revision {
+	return metastore.Revision{Era: 1 + st.restores, Number: number}
+}
+
+func (st *memoryStore) has(key string) bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	_, ok := st.items[key]
+	return ok
+}
+
+// restoreEmpty restores the store from a copy without items.
+func (st *memoryStore) restoreEmpty() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.restores++
+	st.revision, st.items = 1, make(map[string]metastore.Item)
 }
 
 // selectVersion writes the operator's choice of a version.
@@ -95,20 +119,20 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.revision++
-	st.items[selectionKey] = metastore.Item{Key: selectionKey, Value: fmt.Append(nil, version), Revision: st.revision}
+	st.items[selectionKey] = metastore.Item{Key: selectionKey, Value: fmt.Append(nil, version), Revision: st.at(st.revision)}
 }
 
 // changes returns the items that changed after revision, oldest first.
-func (st *memoryStore) changes(revision uint64) []metastore.Item {
+func (st *memoryStore) changes(revision metastore.Revision) []metastore.Item {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	var out []metastore.Item
 	for _, it := range st.items {
-		if it.Revision > revision {
+		if it.Revision.After(revision) {
 			out = append(out, it)
 		}
 	}
-	slices.SortFunc(out, func(a, b metastore.Item) int { return int(a.Revision) - int(b.Revision) })
+	slices.SortFunc(out, func(a, b metastore.Item) int { return a.Revision.Compare(b.Revision) })
 	return out
 }
 
--- a/internal/weights/suspension_test.go
+++ b/internal/weights/suspension_test.go
@@ -28,15 +28,17 @@
 	// follower passes the state of a store to targets, as a host does.
 	follower struct {
 		targets *weights.Targets
-		applied uint64
+		applied metastore.Revision
 	}
 )
 
 func (*watchedStore) List(context.Context, string) (metastore.Snapshot, error) {
-	return metastore.Snapshot{Revision: 1, Items: []metastore.Item{{Key: selectionKey, Value: []byte("1"), Revision: 1}}}, nil
+	return metastore.Snapshot{Revision: at(1), Items: []metastore.Item{{Key: selectionKey, Value: []byte("1"), Revision: at(1)}}}, nil
 }
 
-func (ws *watchedStore) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (metastore.Changes, error) {
+func (*watchedStore) Era() uint64 { return 1 }
+
+func (ws *watchedStore) Watch(ctx context.Context, _ string, _ metastore.Revision, _ time.Duration) (metastore.Changes, error) {
 	select {
 	case ws.watched <- struct{}{}:
 	case <-ctx.Done():
@@ -92,9 +94,9 @@
 	<-st.watched
 	// The watch ends without changes during the suspension, and version 2 is selected after that.
 	boot.Add(int64(3500 * time.Millisecond))
-	st.responses <- metastore.Changes{Revision: 1}
+	st.responses <- metastore.Changes{Revision: at(1)}
 	<-st.watched
-	st.responses <- metastore.Changes{Revision: 2, Events: []metastore.Event{{Item: metastore.Item{Key: selectionKey, Value: []byte("2"), Revision: 2}}}}
+	st.responses <- metastore.Changes{Revision: at(2), Events: []metastore.Event{{Item: metastore.Item{Key: selectionKey, Value: []byte("2"), Revision: at(2)}}}}
 	<-st.watched
 	require.Equal(t, uint64(2), fo.targets.Target(modelName))
 	boot.Add(int64(maxAge - 3400*time.Millisecond))
--- a/internal/weights/targets.go
+++ b/internal/weights/targets.go
@@ -69,7 +69,7 @@
 		// confirmedAt is the reading of SinceBoot at which this host last knew all changes of the store, and
 		// confirmedRevision the newest revision that it had then applied.
 		confirmedAt       time.Duration
-		confirmedRevision uint64
+		confirmedRevision metastore.Revision
 		// isConfirmed reports whether the host has ever known all changes, isInterrupted whether it may have
 		// missed some since confirmedAt; interruptedAt is when it learned that.
 		isConfirmed, isInterrupted bool
@@ -85,7 +85,7 @@
 		// were not.
 		notBefore map[uint64]time.Duration
 		recorded  map[uint64]bool
-		revision  uint64
+		revision  metastore.Revision
 		// expired is the newest version whose predecessors have been logged as expired.
 		expired uint64
 	}
@@ -105,16 +105,16 @@
 	// selected until then were recorded. A version whose item has a later revision was selected after it.
 	checkpoint struct {
 		// itemRevision is the revision of the checkpoint's item; zero means that there has been none.
-		itemRevision uint64
-		revision     uint64
+		itemRevision metastore.Revision
+		revision     metastore.Revision
 		// at and seenAt are the readings of SinceBoot of that moment and of when this host learned of it.
 		at, seenAt time.Duration
 	}
 
 	// storedCheckpoint is the value of the checkpoint's item; the time is in Unix milliseconds.
 	storedCheckpoint struct {
-		Revision uint64 `json:"revision"`
-		AtMs     int64  `json:"at-ms"`
+		Revision metastore.Revision `json:"revision"`
+		AtMs     int64              `json:"at-ms"`
 	}
 )
 
@@ -128,7 +128,7 @@
 
 // Confirm states that the host has applied all changes of the metadata store up to confirmedAt, a reading of SinceBoot,
 // the newest of which has the given revision. An interruption lasts until a moment after it is confirmed.
-func (ta *Targets) Confirm(revision uint64, confirmedAt time.Duration) {
+func (ta *Targets) Confirm(revision metastore.Revision, confirmedAt time.Duration) {
 	ta.mu.Lock()
 	defer ta.mu.Unlock()
 	ta.confirmedAt, ta.confirmedRevision, ta.isConfirmed = confirmedAt, revision, true
@@ -142,6 +142,18 @@
 	ta.isInterrupted, ta.interruptedAt = true, ta.opts.SinceBoot()
 }
 
+// Restore states that the store was restored from a copy. What it has of the records and the checkpoint is applied after
+// that; what it lacks is written again.
+func (ta *Targets) Restore() {
+	ta.mu.Lock()
+	defer ta.mu.Unlock()
+	ta.checkpoint.itemRevision = metastore.Revision{}
+	for _, mo := range ta.models {
+		clear(mo.recorded)
+		mo.revision = metastore.Revision{}
+	}
+}
+
 // Select makes a version the target of its model. It returns false if the version is not newer than the current
 // target.
 func (ta *Targets) Select(se Selection) bool {
@@ -168,12 +180,12 @@
 
 // earliestSelection returns the earliest moment at which an item of the given revision, which this host has just
 // read, may have been written, and what that moment is known from.
-func (ta *Targets) earliestSelection(revision uint64) (at time.Duration, source string) {
+func (ta *Targets) earliestSelection(revision metastore.Revision) (at time.Duration, source string) {
 	now := ta.opts.SinceBoot()
 	if !ta.isInterrupted {
 		return now, "change"
 	}
-	if ta.checkpoint.itemRevision > 0 && (!ta.isConfirmed || revision <= ta.checkpoint.revision || ta.checkpoint.at > ta.confirmedAt) {
+	if !ta.checkpoint.itemRevision.IsZero() && (!ta.isConfirmed || !revision.After(ta.checkpoint.revision) || ta.checkpoint.at > ta.confirmedAt) {
 		return ta.checkpoint.at, "checkpoint"
 	}
 	if ta.isConfirmed {
--- a/internal/weights/targets_test.go
+++ b/internal/weights/targets_test.go
@@ -213,7 +213,7 @@
 	st.selectVersion(2)
 	ho.deliver()
 	value := fmt.Sprintf(`{"2":%d}`, ck.Now().Add(-maxAge-5*time.Second).UnixMilli())
-	require.NoError(t, ho.targets.ApplyItem(metastore.Item{Key: recordPrefix + modelName, Revision: 99, Value: []byte(value)}))
+	require.NoError(t, ho.targets.ApplyItem(metastore.Item{Key: recordPrefix + modelName, Revision: at(99), Value: []byte(value)}))
 	run(t, ck, maxAge-time.Second, ho)
 	require.False(t, ho.targets.IsExpired(modelName, 1))
 }
@@ -267,3 +267,21 @@
 	require.NoError(t, json.Unmarshal(st.items[recordPrefix+modelName].Value, &record))
 	require.InDelta(t, ck.Now().Add(time.Hour-5*time.Second).UnixMilli(), record[2], 1)
 }
+
+// Guards against a record that hosts believe to be in a store which was restored from a copy without it, and against
+// a checkpoint that counts as older because its revision was given out before.
+func TestRecordsAreWrittenAgainWhenStoreIsRestored(t *testing.T) {
+	ck, st := clockwork.NewFakeClock(), newMemoryStore()
+	st.selectVersion(1)
+	ho := startHost(t, ck, st)
+	run(t, ck, 10*time.Second, ho)
+	require.True(t, st.has(recordPrefix+modelName) && st.has(checkpointKey))
+	st.restoreEmpty()
+	ho.applied = metastore.Revision{}
+	ho.targets.Restore()
+	run(t, ck, 10*time.Second, ho)
+	require.True(t, st.has(recordPrefix+modelName) && st.has(checkpointKey))
+	first := st.items[checkpointKey].Revision
+	run(t, ck, 10*time.Second, ho)
+	require.True(t, st.items[checkpointKey].Revision.After(first))
+}
--- a/programs/bergamotctl/quarantine.go
+++ b/programs/bergamotctl/quarantine.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	return printAccepted(cmd, revision)
+	return printAccepted(cmd, revision.Number)
 }
 
 func clearPart(ctx context.Context, cmd *cli.Command) error {
@@ -148,5 +148,5 @@
 	if err != nil {
 		return err
 	}
-	return printAccepted(cmd, revision)
+	return printAccepted(cmd, revision.Number)
 }
