--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -309,9 +309,9 @@
 	for len(tc.idle) > 0 {
 		cn := tc.idle[len(tc.idle)-1]
 		tc.idle = tc.idle[:len(tc.idle)-1]
-		if now.Sub(cn.idleSince) < cn.idleTimeout && isIdleAndOpen(cn.Conn) {
+		// The deadline of the last use may have passed, with which no check succeeds.
+		if now.Sub(cn.idleSince) < cn.idleTimeout && cn.SetDeadline(time.Time{}) == nil && isIdleAndOpen(cn.Conn) {
 			po.mu.Unlock()
-			_ = cn.SetDeadline(time.Time{})
 			return cn, nil
 		}
 		closeConn(cn)
--- a/internal/attempt/attempt_test.go
+++ b/internal/attempt/attempt_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/attempt"
@@ -99,6 +100,19 @@
 	}
 }
 
+// Guards against a new connection after each rejection whose connection has been idle for longer than its body may take.
+func TestConnectionIsReusedLongAfterItsBodyWasDiscarded(t *testing.T) {
+	target, opened := serve(t, respondAlways("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"))
+	po := attempt.NewPool(attempt.Options{Clock: clockwork.NewFakeClockAt(time.Unix(1, 0))})
+	for range 3 {
+		rs, err := send(t, po, target, "")
+		require.NoError(t, err)
+		rs.DiscardBody(1, time.Second)
+		rs.Close()
+	}
+	require.Equal(t, int64(1), opened.Load())
+}
+
 func TestFailuresSayWhetherTheRequestMayHaveRun(t *testing.T) {
 	po := attempt.NewPool(attempt.Options{})
 	var unsent *attempt.NotSentError
