--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -63,6 +63,9 @@
 		resetOnAbort bool
 		// lastEventID is the ID of the last event that the client received; empty if none.
 		lastEventID string
+		// hasUnnumberedEvents is set once the client has received an event of a stream without IDs. No other endpoint can
+		// continue such a stream.
+		hasUnnumberedEvents bool
 		// events counts the events written to the client.
 		events int
 		// endpointID is the endpoint of the last attempt.
@@ -272,7 +275,7 @@
 
 // canRetry reports whether the request may run again at another endpoint.
 func (fw *forwarder) canRetry() bool {
-	return fw.rq.route.IsRepeatable() && fw.sent < fw.rq.route.MaxAttempts &&
+	return fw.rq.route.IsRepeatable() && !fw.hasUnnumberedEvents && fw.sent < fw.rq.route.MaxAttempts &&
 		fw.rq.deadline.Sub(fw.gw.opts.Clock.Now()) > minAttemptTime
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -27,6 +27,7 @@
 	eventIDField  = []byte("id:")
 	dataField     = []byte("data:")
 	errEventOrder = forwardError("the event ID does not follow the last one of the stream")
+	errNoEventID  = forwardError("the event that continues the stream has no ID")
 	errEventSize  = forwardError("the event exceeds the size limit")
 	errNoEvent    = forwardError("the stream ended before its first event, and the endpoint has stopped")
 	errEventEnd   = forwardError("the stream ended within an event")
@@ -40,7 +41,7 @@
 	}
 	br := bufio.NewReader(rs)
 	rc := http.NewResponseController(fw.w)
-	begun := false
+	begun, continues := false, fw.headerWritten
 	for {
 		event, err := readEvent(br)
 		switch {
@@ -61,8 +62,11 @@
 			fw.observeFetches(pl)
 		}
 		id, hasID := eventID(event)
-		if hasID && !fw.isNextEvent(id) {
+		switch {
+		case hasID && !fw.isNextEvent(id):
 			return fw.retryOrGiveUp(errEventOrder)
+		case !hasID && continues && !begun && !isComment(event):
+			return fw.retryOrGiveUp(errNoEventID)
 		}
 		if hasID || hasData(event) {
 			begun = true
@@ -86,8 +90,11 @@
 			return stepBreakOff, fleet.Neutral, nil
 		}
 		fw.events++
-		if hasID {
+		switch {
+		case hasID:
 			fw.lastEventID = id
+		case fw.lastEventID == "" && !isComment(event):
+			fw.hasUnnumberedEvents = true
 		}
 		if clientCtx.Err() != nil || ctx.Err() != nil {
 			return fw.retryOrGiveUp(ctx.Err())
@@ -170,6 +177,16 @@
 	return false
 }
 
+// isComment reports whether an event has no fields.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // eventID returns the ID of an event; ok is false if it has none.
 func eventID(event []byte) (id string, ok bool) {
 	for line := range bytes.Lines(event) {
