--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -69,3 +69,23 @@
 		})
 	}
 }
+
+// Guards against a success made of an answer whose head stops in the middle.
+func TestAnswerWithPartOfItsHeadIsBroken(t *testing.T) {
+	for name, head := range map[string]string{
+		"with a length":    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 10\r\n\r\n",
+		"in chunks":        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"until the close":  "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+		"after an interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := service.NewClient(connection.NewDialer(connection.Options{}))
+			for n := range len(head) {
+				address := respondOnce(t, head[:n], false)
+				_, err := client.Do(context.Background(), address, service.Request{Method: http.MethodPost, Path: "/", Body: []byte("x")})
+				var be *connection.BrokenError
+				require.ErrorAs(t, err, &be, "%q", head[:n])
+			}
+		})
+	}
+}
