--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,13 @@
 	// retentionTime is how long after an outage of the metadata store an endpoint without an entry is still
 	// used. Live endpoints register again within about 2 s after the outage.
 	retentionTime = 2300 * time.Millisecond
+	// minRetentionTime is the part of it for which such an endpoint is used also if the store was back before this host noticed.
+	// retentionAfterFailure is how long it is used after the last failed call.
+	minRetentionTime      = 2 * time.Second
+	retentionAfterFailure = 2500 * time.Millisecond
+	// removalRetention is how long an endpoint is used after its removal was seen. An endpoint that leaves without notice
+	// must not get requests 2 s after it.
+	removalRetention = 1700 * time.Millisecond
 	// minBackoff and maxBackoff bound the time for which an unreachable endpoint gets no requests.
 	minBackoff = 250 * time.Millisecond
 	maxBackoff = 2 * time.Second
@@ -60,9 +67,12 @@
 		hostsVersion int
 		evacuated    map[string]bool
 		// departed holds the endpoints whose entries disappeared lately, by identifier.
-		departed        map[string]departure
-		synced          bool
+		departed map[string]departure
+		synced   bool
+		// storeLostAt is the time of the first failed call to the store, zero if the last call succeeded, and storeFailedAt
+		// that of the last failed one.
 		storeLostAt     time.Time
+		storeFailedAt   time.Time
 		storeRegainedAt time.Time
 	}
 
@@ -126,7 +136,15 @@
 func (fl *Fleet) Remove(id string) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	fl.remove(id, fl.opts.Clock.Now())
+	now := fl.opts.Clock.Now()
+	ep := fl.endpoints[id]
+	if ep == nil || !ep.retainedUntil.IsZero() {
+		return
+	}
+	fl.remove(id, ep, now)
+	if latest := now.Add(removalRetention); fl.storeLostAt.IsZero() && latest.Before(ep.retainedUntil) {
+		ep.retainedUntil = latest
+	}
 }
 
 // ReplaceRestored records the complete list of entries of a metadata store that was restored from a copy. Entries that the copy
@@ -137,7 +155,7 @@
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
 	if fl.storeLostAt.IsZero() {
-		fl.storeRegainedAt = now
+		fl.storeFailedAt, fl.storeRegainedAt = now, now
 	}
 	current := make([]Entry, 0, len(entries))
 	for _, en := range entries {
@@ -161,9 +179,9 @@
 		listed[en.ID] = true
 		fl.put(en, now)
 	}
-	for id := range fl.endpoints {
-		if !listed[id] {
-			fl.remove(id, now)
+	for id, ep := range fl.endpoints {
+		if !listed[id] && ep.retainedUntil.IsZero() {
+			fl.remove(id, ep, now)
 		}
 	}
 	fl.synced = true
@@ -173,8 +191,9 @@
 func (fl *Fleet) StoreLost() {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
+	fl.storeFailedAt = fl.opts.Clock.Now()
 	if fl.storeLostAt.IsZero() {
-		fl.storeLostAt = fl.opts.Clock.Now()
+		fl.storeLostAt = fl.storeFailedAt
 	}
 }
 
@@ -191,7 +210,7 @@
 	fl.storeLostAt, fl.storeRegainedAt = time.Time{}, now
 	for _, ep := range fl.endpoints {
 		if !ep.retainedUntil.IsZero() {
-			ep.retainedUntil = now.Add(retentionTime)
+			ep.retainedUntil = fl.retentionEnd()
 		}
 	}
 	return outage
@@ -351,21 +370,27 @@
 	return changed
 }
 
-func (fl *Fleet) remove(id string, now time.Time) {
-	ep := fl.endpoints[id]
-	if ep == nil || !ep.retainedUntil.IsZero() {
-		return
-	}
+// remove deletes an endpoint without an entry, or retains it if its entry may have expired.
+func (fl *Fleet) remove(id string, ep *endpoint, now time.Time) {
 	storeUnreliable := !fl.storeLostAt.IsZero() || now.Sub(fl.storeRegainedAt) < retentionTime && !fl.storeRegainedAt.IsZero()
-	if !storeUnreliable || ep.entry.Draining {
+	switch {
+	case !storeUnreliable || ep.entry.Draining:
 		fl.delete(id, ep, now)
-		return
+	case !fl.storeLostAt.IsZero():
+		// StoreReached sets the end.
+		ep.retainedUntil = now.Add(retentionTime)
+	default:
+		ep.retainedUntil = fl.retentionEnd()
 	}
-	retainedSince := fl.storeRegainedAt
-	if !fl.storeLostAt.IsZero() {
-		retainedSince = now
+}
+
+// retentionEnd returns until when endpoints are retained whose entries disappeared during the last outage of the store.
+func (fl *Fleet) retentionEnd() time.Time {
+	end := later(fl.storeFailedAt.Add(retentionAfterFailure), fl.storeRegainedAt.Add(minRetentionTime))
+	if latest := fl.storeRegainedAt.Add(retentionTime); latest.Before(end) {
+		return latest
 	}
-	ep.retainedUntil = retainedSince.Add(retentionTime)
+	return end
 }
 
 // delete deletes an endpoint, and keeps its identity and the limit that it names in case its entry returns.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -91,6 +91,28 @@
 	require.Empty(t, fl.Views("engines"), "a removal while the store is available takes effect at once")
 }
 
+// Guards against an endpoint that gets requests for 2 s and more after its removal, by a host that had lost the store before.
+func TestRemovalSoonAfterStoreOutageTakesEffectInTime(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	fl.Put(newEntry("removed-after"))
+	fl.Put(newEntry("removed-before"))
+	fl.StoreLost()
+	ck.Advance(time.Minute)
+	fl.StoreLost()
+	ck.Advance(600 * time.Millisecond)
+	fl.Remove("removed-before")
+	fl.StoreReached()
+	ck.Advance(200 * time.Millisecond)
+	fl.Remove("removed-after")
+	ck.Advance(1600 * time.Millisecond)
+	require.Equal(t, []string{"removed-after", "removed-before"}, ids(fl.Views("engines")))
+	ck.Advance(200 * time.Millisecond)
+	require.Equal(t, []string{"removed-before"}, ids(fl.Views("engines")), "1.8 s after the removal was seen")
+	ck.Advance(time.Millisecond)
+	require.Empty(t, fl.Views("engines"), "2.6 s after the last failed call")
+}
+
 func TestDrainingIsFinal(t *testing.T) {
 	fl := fleet.New(fleet.Options{Host: "host"})
 	en := newEntry("a")
--- a/internal/metastore/backoff_test.go
+++ b/internal/metastore/backoff_test.go
@@ -22,6 +22,13 @@
 		watches atomic.Int64
 	}
 
+	// recoveringStore lists an empty state, fails the first watch and records how long the others may wait.
+	recoveringStore struct {
+		metastore.Store
+		waits chan time.Duration
+		calls int
+	}
+
 	// fakeFeed covers the state while covered is set.
 	fakeFeed struct{ covered atomic.Bool }
 )
@@ -40,6 +47,23 @@
 	return metastore.Changes{}, metastore.NewUnavailableError("watch", false, errDown)
 }
 
+func (*recoveringStore) List(context.Context, string) (metastore.Snapshot, error) {
+	return metastore.Snapshot{Revision: at(1)}, nil
+}
+
+func (*recoveringStore) Era() uint64 { return 1 }
+
+func (rs *recoveringStore) Watch(ctx context.Context, _ string, revision metastore.Revision, wait time.Duration) (metastore.Changes, error) {
+	if rs.calls++; rs.calls == 1 {
+		return metastore.Changes{}, metastore.NewUnavailableError("watch", false, errDown)
+	}
+	select {
+	case rs.waits <- wait:
+	case <-ctx.Done():
+	}
+	return metastore.Changes{Revision: revision}, nil
+}
+
 func (ff *fakeFeed) Next(ctx context.Context, revision metastore.Revision) (metastore.Changes, error) {
 	if !ff.covered.Load() {
 		return metastore.Changes{}, errDown
@@ -104,3 +128,20 @@
 	require.Eventually(t, func() bool { return rp.valueOf("k") == "v" }, waitTimeout, pollInterval)
 	require.Equal(t, int64(1), feedChanges.Load())
 }
+
+// Guards against a host that notices only at the end of a long watch that the store is back.
+func TestFirstWatchAfterFailureDoesNotWait(t *testing.T) {
+	rs := &recoveringStore{waits: make(chan time.Duration)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		metastore.Follow(ctx, metastore.FollowOptions{Store: rs}, &replica{})
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	require.Zero(t, <-rs.waits)
+	require.Equal(t, 1300*time.Millisecond, <-rs.waits)
+}
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -92,7 +92,8 @@
 	}
 
 	// followLoop is the state of Follow: the revision up to which all changes have been applied, the highest era that was known
-	// when the complete state was listed, whether it has been, whether the feed covers it, and the backoff after the next failure.
+	// when the complete state was listed, whether it has been, whether the feed covers it, whether the last call failed, and the
+	// backoff after the next failure.
 	followLoop struct {
 		opts     FollowOptions
 		fo       Follower
@@ -100,6 +101,7 @@
 		era      uint64
 		synced   bool
 		covered  bool
+		failing  bool
 		backoff  time.Duration
 	}
 )
@@ -121,8 +123,9 @@
 			lp.synced = false
 			continue
 		case err == nil:
-			lp.backoff = minRetryBackoff
+			lp.backoff, lp.failing = minRetryBackoff, false
 		default:
+			lp.failing = true
 			fo.CallFailed(err)
 			if opts.Relay != nil {
 				opts.Relay.RecordFailure()
@@ -215,6 +218,10 @@
 		return 0, nil
 	}
 	after, wait := lp.revision, min(lp.opts.WatchWait(), maxWatchWait)
+	if lp.failing {
+		// What depends on the end of an outage shall not wait for a change.
+		wait = 0
+	}
 	ch, err := lp.opts.Store.Watch(ctx, lp.opts.Prefix, after, wait)
 	if err != nil {
 		return 0, err
