--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -85,7 +85,8 @@
 		// OnFeedChange is called when the feed begins to cover the state, with a nil error, and when it
 		// ceases to, with the reason; nil means that nobody is told.
 		OnFeedChange func(err error)
-		// Relaying reports whether other hosts depend on this one as a relay; nil means never.
+		// Relaying reports whether this host has to notice itself that the store is back, because it is a relay or there are
+		// none; nil means never.
 		Relaying func() bool
 		// Relay receives the responses of the store; it may be nil.
 		Relay Relay
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,7 +234,7 @@
 	eg.Go(func() error {
 		metastore.Follow(workCtx, metastore.FollowOptions{
 			Store: no.deps.Store, Clock: no.ck, BatchPause: no.watchPause, WatchWait: no.watchWait,
-			Feed: no.feedSubscriber, OnFeedChange: no.logFeedChange, Relay: no.feedPublisher, Relaying: no.exchange.IsZoneAggregator,
+			Feed: no.feedSubscriber, OnFeedChange: no.logFeedChange, Relay: no.feedPublisher, Relaying: no.exchange.FollowsCacheStores,
 		}, no.storeState)
 		return nil
 	})
--- a/internal/node/restore_test.go
+++ b/internal/node/restore_test.go
@@ -129,3 +129,15 @@
 	require.NoError(t, env.store.SetWeightVersion(2))
 	require.Eventually(t, areWritten, waitTimeout, pollInterval)
 }
+
+// Guards against a host of a small fleet, in which nobody else can tell it, that notices up to 3 s late that the store is back.
+func TestHostWithoutRelaysCallsUnavailableStoreOften(t *testing.T) {
+	t.Parallel()
+	const watches = 13
+	env := newTestEnv(t, 0, 1)
+	env.writeConfiguration()
+	env.startReadyHost("host-0")
+	env.store.SetFault(site.StoreUnavailable)
+	before := env.store.WatchCount()
+	require.Eventually(t, func() bool { return env.store.WatchCount()-before >= watches }, waitTimeout, pollInterval)
+}
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -264,8 +264,8 @@
 	return !ex.isFlat() && ex.isAggregator() && ex.isStrong()
 }
 
-// FollowsCacheStores reports whether this host follows cache stores itself: as the aggregator of its zone, or
-// because the exchange is flat.
+// FollowsCacheStores reports whether this host follows cache stores itself, and watches the metadata store for others or
+// itself: as the aggregator of its zone, or because the exchange is flat.
 func (ex *Exchange) FollowsCacheStores() bool {
 	ex.mu.Lock()
 	defer ex.mu.Unlock()
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -18,6 +18,7 @@
 
 const (
 	leasePath = "/kv-lease"
+	watchPath = "/kv-watch"
 	// pollInterval is a tenth of the time after which a watch looks for expired leases again.
 	pollInterval = 5 * time.Millisecond
 	itemsPerPage = 100
@@ -45,6 +46,7 @@
 		fault             StoreFault
 		delay             time.Duration
 		callCount         int
+		watchCount        int
 		// changed is closed and replaced by notifyWatchers.
 		changed chan struct{}
 	}
@@ -184,6 +186,13 @@
 	return st.callCount
 }
 
+// WatchCount returns the number of watches received so far.
+func (st *Store) WatchCount() int {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.watchCount
+}
+
 // GrantedLeases returns the number of leases granted so far.
 func (st *Store) GrantedLeases() int {
 	st.mu.Lock()
@@ -236,6 +245,9 @@
 func (st *Store) ServeHTTP(w http.ResponseWriter, rq *http.Request) {
 	st.mu.Lock()
 	st.callCount++
+	if rq.URL.Path == watchPath {
+		st.watchCount++
+	}
 	fault, delay := st.fault, st.delay
 	w.Header().Set("Store-Era", strconv.FormatUint(st.era, 10))
 	st.mu.Unlock()
@@ -264,7 +276,7 @@
 	switch {
 	case rq.URL.Path == "/kv-range":
 		st.handleList(w, rq)
-	case rq.URL.Path == "/kv-watch":
+	case rq.URL.Path == watchPath:
 		st.handleWatch(w, rq)
 	case rq.URL.Path == "/kv-txn":
 		st.handleTransaction(w, rq)
