--- a/internal/changefeed/changefeed_test.go
+++ b/internal/changefeed/changefeed_test.go
@@ -290,6 +290,20 @@
 	require.ErrorContains(t, err, "missing")
 }
 
+// Guards against a state with missing changes that counts as covered when the host asks once more.
+func TestMissingChangesRemainMissing(t *testing.T) {
+	t.Parallel()
+	su := changefeed.NewSubscriber(changefeed.SubscriberOptions{MaxAge: func() time.Duration { return time.Minute }})
+	su.Offer("relay", changefeed.Update{From: at(11), To: at(12), Events: []changefeed.Event{{Key: "k", Revision: 12}}})
+	for range 3 {
+		_, err := su.Next(context.Background(), at(9))
+		require.ErrorContains(t, err, "missing")
+	}
+	ch, err := su.Next(context.Background(), at(11))
+	require.NoError(t, err)
+	require.Len(t, ch.Events, 1)
+}
+
 // Guards against a relay that does not know of a restore, whose state covers that of a host which does, and against changes of a
 // new era that are applied to the state of the one before.
 func TestUpdatesOfOtherErasDoNotCoverTheState(t *testing.T) {
--- a/internal/changefeed/subscriber.go
+++ b/internal/changefeed/subscriber.go
@@ -135,7 +135,7 @@
 	}
 	for _, up := range su.pending {
 		if up.From.After(ch.Revision) {
-			su.covered, su.pending = false, nil
+			su.covered = false
 			return metastore.Changes{}, 0, &NotCoveredError{reason: fmt.Sprintf("changes after revision %s are missing", ch.Revision)}
 		}
 		for _, ev := range up.Events {
