--- a/internal/changefeed/subscriber.go
+++ b/internal/changefeed/subscriber.go
@@ -50,7 +50,9 @@
 	NotCoveredError struct {
 		// relayFailing reports that the relay has lost the store.
 		relayFailing bool
-		reason       string
+		// changesMissing reports that the relay has changes before those that it sends.
+		changesMissing bool
+		reason         string
 	}
 )
 
@@ -63,6 +65,9 @@
 // relay loses the store.
 func (e *NotCoveredError) IsStoreLost() bool { return e.relayFailing }
 
+// IsBehind reports that the relay reaches the store and has changes that this host has to read there.
+func (e *NotCoveredError) IsBehind() bool { return e.changesMissing }
+
 // NewSubscriber returns a subscriber that has received no update.
 func NewSubscriber(opts SubscriberOptions) *Subscriber {
 	if opts.Clock == nil {
@@ -136,7 +141,7 @@
 	for _, up := range su.pending {
 		if up.From.After(ch.Revision) {
 			su.covered = false
-			return metastore.Changes{}, 0, &NotCoveredError{reason: fmt.Sprintf("changes after revision %s are missing", ch.Revision)}
+			return metastore.Changes{}, 0, &NotCoveredError{changesMissing: true, reason: fmt.Sprintf("changes after revision %s are missing", ch.Revision)}
 		}
 		for _, ev := range up.Events {
 			if se := ev.toStoreEvent(up.To.Era); se.Item.Revision.After(ch.Revision) {
--- a/internal/metastore/backoff_test.go
+++ b/internal/metastore/backoff_test.go
@@ -29,6 +29,12 @@
 		calls int
 	}
 
+	// behindFeed shows that changes are missing while isBehind is set.
+	behindFeed struct{ isBehind atomic.Bool }
+
+	// behindError is the error of a behindFeed.
+	behindError struct{ isBehind bool }
+
 	// fakeFeed covers the state while covered is set.
 	fakeFeed struct{ covered atomic.Bool }
 )
@@ -75,6 +81,14 @@
 	return metastore.Changes{}, ctx.Err()
 }
 
+func (bf *behindFeed) Next(context.Context, metastore.Revision) (metastore.Changes, error) {
+	return metastore.Changes{}, behindError{isBehind: bf.isBehind.Load()}
+}
+
+func (behindError) Error() string { return "not covered" }
+
+func (be behindError) IsBehind() bool { return be.isBehind }
+
 // followFailingStore follows a failing store for a simulated time and returns the number of watches.
 func followFailingStore(t *testing.T, opts metastore.FollowOptions, d time.Duration) (watches int64, rp *replica, ck *clockwork.FakeClock) {
 	const step = 20 * time.Millisecond
@@ -145,3 +159,16 @@
 	require.Zero(t, <-rs.waits)
 	require.Equal(t, 1300*time.Millisecond, <-rs.waits)
 }
+
+// Guards against a host that has been cut off, and waits up to 3 s for its next call although it hears of changes that it lacks.
+func TestMissingChangesEndTheBackoff(t *testing.T) {
+	t.Parallel()
+	bf := &behindFeed{}
+	rarely, _, _ := followFailingStore(t, metastore.FollowOptions{Feed: bf}, 20*time.Second)
+	require.LessOrEqual(t, rarely, int64(20))
+	other := &behindFeed{}
+	other.isBehind.Store(true)
+	often, _, _ := followFailingStore(t, metastore.FollowOptions{Feed: other}, 20*time.Second)
+	require.Greater(t, often, int64(30))
+	require.LessOrEqual(t, often, int64(80))
+}
--- a/internal/metastore/follow.go
+++ b/internal/metastore/follow.go
@@ -52,7 +52,8 @@
 	Feed interface {
 		// Next returns the changes after revision, and waits for some. It fails if the store must be asked
 		// instead. An error with a method IsStoreLost that returns true also counts as a failed call to the
-		// store. The first result after a failure may be empty.
+		// store, and after one with a method IsBehind that returns true the store is known to be available. The first
+		// result after a failure may be empty.
 		Next(ctx context.Context, revision Revision) (Changes, error)
 	}
 
@@ -94,7 +95,7 @@
 
 	// followLoop is the state of Follow: the revision up to which all changes have been applied, the highest era that was known
 	// when the complete state was listed, whether it has been, whether the feed covers it, whether the last call failed, and the
-	// backoff after the next failure.
+	// backoff after the next failure. It is behind if the feed says so.
 	followLoop struct {
 		opts     FollowOptions
 		fo       Follower
@@ -103,6 +104,7 @@
 		synced   bool
 		covered  bool
 		failing  bool
+		behind   bool
 		backoff  time.Duration
 	}
 )
@@ -148,7 +150,8 @@
 
 func (opts FollowOptions) isRelaying() bool { return opts.Relaying != nil && opts.Relaying() }
 
-// wait waits for the duration d. After a failure it returns as soon as the feed covers the state.
+// wait waits for the duration d. After a failure it returns as soon as the feed covers the state, and at most maxRetryBackoff after
+// the feed shows that the store is available.
 func (lp *followLoop) wait(ctx context.Context, d time.Duration, failed bool) {
 	checksFeed := failed && lp.synced && lp.opts.Feed != nil
 	for d > 0 && ctx.Err() == nil {
@@ -164,6 +167,9 @@
 		if checksFeed && lp.followFeed(ctx) {
 			return
 		}
+		if lp.behind && d > maxRetryBackoff {
+			d = rand.N(maxRetryBackoff)
+		}
 	}
 }
 
@@ -186,6 +192,8 @@
 // followFeed waits for changes from the feed and applies them. It returns false if the store must be asked.
 func (lp *followLoop) followFeed(ctx context.Context) bool {
 	ch, err := lp.opts.Feed.Next(ctx, lp.revision)
+	var behind interface{ IsBehind() bool }
+	lp.behind = errors.As(err, &behind) && behind.IsBehind()
 	if covered := err == nil; covered != lp.covered && ctx.Err() == nil {
 		lp.covered = covered
 		if lp.opts.OnFeedChange != nil {
