--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -40,8 +40,7 @@
 		requests      []RecordedRequest
 		orders        []WeightOrder
 		weightVersion uint64
-		// limits are the values of Server-Limit in each response.
-		limits []string
+		statements    statements
 		// crashPart is the ID of the prompt part that crashes the endpoint; empty if none.
 		crashPart string
 		// closed is closed when the endpoint stops. Restart replaces it.
@@ -213,7 +212,7 @@
 	}
 	ep.startTimeMs++
 	ep.bootEpoch++
-	ep.orders, ep.parts = nil, nil
+	ep.orders, ep.parts, ep.statements = nil, nil, statements{}
 	ep.serve(ln)
 	return nil
 }
@@ -270,14 +269,6 @@
 	ep.crashPart = id
 }
 
-// AnnounceLimit sets the values of Server-Limit, in requests per second, in all further responses; without a value
-// the header is omitted.
-func (ep *Endpoint) AnnounceLimit(values ...string) {
-	ep.mu.Lock()
-	defer ep.mu.Unlock()
-	ep.limits = values
-}
-
 // RecordedRequests returns the executed requests in the order in which they were read.
 func (ep *Endpoint) RecordedRequests() []RecordedRequest {
 	ep.mu.Lock()
@@ -301,11 +292,7 @@
 
 // ServeHTTP serves a client's request or a call of the platform's protocol.
 func (ep *Endpoint) ServeHTTP(w http.ResponseWriter, rq *http.Request) {
-	ep.mu.Lock()
-	if len(ep.limits) > 0 {
-		w.Header()["Server-Limit"] = ep.limits
-	}
-	ep.mu.Unlock()
+	ep.announce(w.Header())
 	switch rq.URL.Path {
 	case "/report":
 		ep.handleReport(w)
@@ -324,6 +311,8 @@
 
 func (ep *Endpoint) handleRequest(w http.ResponseWriter, rq *http.Request) {
 	ep.mu.Lock()
+	ep.statements.receivedAt = append(ep.statements.receivedAt, time.Now())
+	retryAfter := ep.statements.retryAfter
 	id, version, closed := ep.id, ep.weightVersion, ep.closed
 	crashes := ep.crashPart != "" && hasSharedPart(rq.Header.Get("X-Prompt-Prefix"), ep.crashPart)
 	fault := NoEndpointFault
@@ -343,7 +332,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if fault == ShedLoad {
+	if len(retryAfter) > 0 {
+		hd["Retry-After"] = retryAfter
+	}
+	if fault == ShedLoad || len(retryAfter) > 0 {
 		hd.Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
