--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -94,6 +94,8 @@
 		Status int
 		// Header is the response header.
 		Header http.Header
+		// Interim holds the headers of the interim responses before it.
+		Interim []http.Header
 		// Reused reports that the connection has carried earlier requests.
 		Reused bool
 
@@ -174,6 +176,7 @@
 // belongs to an earlier request. It fails with a *HeaderSizeError if the header, with the interim responses
 // before it, exceeds 64 KiB.
 func (rs *Response) Next() error {
+	rs.Interim = nil
 	rs.conn.source.limit(maxHeaderBytes)
 	defer rs.conn.source.unlimit()
 	for {
@@ -183,6 +186,7 @@
 			return err
 		}
 		if rsp.StatusCode >= 100 && rsp.StatusCode < 200 {
+			rs.Interim = append(rs.Interim, rsp.Header)
 			continue
 		}
 		rs.rsp, rs.Status, rs.Header, rs.bodyRead = rsp, rsp.StatusCode, rsp.Header, false
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -54,8 +54,8 @@
 		Cold bool
 		// Loading marks an endpoint that loads new weights or is about to.
 		Loading bool
-		// Limited marks an endpoint that names a limit of requests.
-		Limited bool
+		// Limited marks an endpoint that names a limit of requests, and Waiting one that wants no requests from this host now.
+		Limited, Waiting bool
 		// Retained marks an endpoint whose entry disappeared during or soon after an outage of the metadata store.
 		Retained bool
 	}
@@ -75,7 +75,7 @@
 		retainedUntil     time.Time
 		drainingSince     time.Time
 		coldBucket        rateBucket
-		limit             requestLimit
+		said              statements
 		residentParts     residentSet
 	}
 
@@ -104,6 +104,7 @@
 		Cold:         now.Before(ep.coldUntil),
 		Loading:      now.Before(ep.loadingUntil),
 		Limited:      fl.hasLimit(ep, now),
+		Waiting:      ep.said.wait.isHeld(now),
 		Retained:     !ep.retainedUntil.IsZero(),
 	}
 	for _, pl := range ep.peerLoads {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -32,8 +32,10 @@
 	// and peerDownDuration the time for which it does. A single peer may have lost its own link.
 	peerDownQuorum   = 2
 	peerDownDuration = 600 * time.Millisecond
-	// departureRetention is how long an endpoint without an entry is remembered.
+	// departureRetention is how long an endpoint without an entry is remembered, and leavingRetention how long one that said
+	// that it leaves.
 	departureRetention = time.Minute
+	leavingRetention   = 10 * time.Minute
 	// failureWeight is the weight of the newest outcome in the moving average of the failure share.
 	failureWeight = 0.1
 	// residentMemoryShare is the share of an engine's memory that is expected to hold parts of earlier
@@ -51,8 +53,9 @@
 		// IsRegistered reports whether the other hosts know this one; nil means that they always do. It is called while
 		// the fleet is locked.
 		IsRegistered func() bool
-		// OnLimitChange is called when an endpoint names another limit or none any more; nil means that nobody is told.
-		OnLimitChange func(LimitChange)
+		// OnStatementChange is called when an endpoint says something else of itself than before; nil means that nobody is
+		// told.
+		OnStatementChange func(StatementChange)
 	}
 
 	// Fleet is what a host knows of the endpoints. It is safe for concurrent use.
@@ -83,13 +86,15 @@
 		load      Load
 		prefilled bool
 		ended     bool
+		// isFirst is set for a request with which the host tries an endpoint again after a wait.
+		isFirst bool
 	}
 
-	// departure is a start of an endpoint whose entry disappeared, with the limit that it named.
+	// departure is a start of an endpoint whose entry disappeared, with what it said of itself.
 	departure struct {
 		startTimeMs int64
 		at          time.Time
-		limit       requestLimit
+		said        statements
 	}
 
 	// Outcome is the result of an attempt with regard to the health of the endpoint.
@@ -347,17 +352,17 @@
 
 func (fl *Fleet) put(en Entry, now time.Time) bool {
 	ep := fl.endpoints[en.ID]
-	changed := ep == nil || !ep.entry.sameStart(en) || ep.entry.Draining != en.Draining ||
-		!maps.Equal(ep.entry.Models, en.Models)
-	if ep == nil || !ep.entry.sameStart(en) {
-		ep = &endpoint{hash: rendezvous.Hash(en.ID), limit: fl.takeDepartedLimit(en, now)}
+	isNew := ep == nil || !ep.entry.sameStart(en)
+	if isNew {
+		ep = &endpoint{hash: rendezvous.Hash(en.ID), said: fl.takeDeparted(en, now)}
 		fl.endpoints[en.ID] = ep
 	}
+	// Draining is final: an older entry that arrives late must not undo it.
+	en.Draining = en.Draining || ep.entry.Draining || ep.said.isLeaving
+	changed := isNew || ep.entry.Draining != en.Draining || !maps.Equal(ep.entry.Models, en.Models)
 	if en.Draining && !ep.entry.Draining {
 		ep.drainingSince = now
 	}
-	// Draining is final: an older entry that arrives late must not undo it.
-	en.Draining = en.Draining || ep.entry.Draining
 	// The endpoint itself may have reported a newer version of its weights than the entry has.
 	for name, v := range ep.entry.Models {
 		if listed, ok := en.Models[name]; ok && v > listed {
@@ -393,30 +398,38 @@
 	return end
 }
 
-// delete deletes an endpoint, and keeps its identity and the limit that it names in case its entry returns.
+// delete deletes an endpoint, and keeps its identity and what it said of itself in case its entry returns.
 func (fl *Fleet) delete(id string, ep *endpoint, now time.Time) {
 	delete(fl.endpoints, id)
 	for other, de := range fl.departed {
-		if now.Sub(de.at) > departureRetention {
+		if !de.isRetained(now) {
 			delete(fl.departed, other)
 		}
 	}
-	fl.departed[id] = departure{startTimeMs: ep.entry.StartTimeMs, at: now, limit: ep.limit}
+	fl.departed[id] = departure{startTimeMs: ep.entry.StartTimeMs, at: now, said: ep.said}
+}
+
+// isRetained reports whether a departure is still remembered.
+func (de departure) isRetained(now time.Time) bool {
+	if de.said.isLeaving {
+		return now.Sub(de.at) <= leavingRetention
+	}
+	return now.Sub(de.at) <= departureRetention
 }
 
 // hasDeparted reports whether the entry of this start of an endpoint disappeared lately.
 func (fl *Fleet) hasDeparted(en Entry, now time.Time) bool {
 	de, ok := fl.departed[en.ID]
-	return ok && de.startTimeMs == en.StartTimeMs && now.Sub(de.at) <= departureRetention
+	return ok && de.startTimeMs == en.StartTimeMs && de.isRetained(now)
 }
 
-// takeDepartedLimit returns the limit that an endpoint named before its entry disappeared, if it has not been restarted.
-func (fl *Fleet) takeDepartedLimit(en Entry, now time.Time) requestLimit {
+// takeDeparted returns what an endpoint said of itself before its entry disappeared, if it has not been restarted.
+func (fl *Fleet) takeDeparted(en Entry, now time.Time) statements {
 	defer delete(fl.departed, en.ID)
 	if !fl.hasDeparted(en, now) {
-		return requestLimit{}
+		return statements{}
 	}
-	return fl.departed[en.ID].limit
+	return fl.departed[en.ID].said
 }
 
 // isExpired reports whether the retention of an endpoint without an entry has ended.
--- a/internal/fleet/in_flight.go
+++ b/internal/fleet/in_flight.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Begin counts a request at an endpoint. It returns nil if the endpoint gets no requests any more, or if it
-// is cold or names a limit and this host has used up its share of that rate.
+// is cold or names a limit and this host has used up its share of that rate, or if it wants no requests now.
 func (fl *Fleet) Begin(id string, load Load, coldRate float64) *InFlight {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -12,7 +12,7 @@
 		return nil
 	}
 	now := fl.opts.Clock.Now()
-	if !fl.isWithinLimit(ep, now) {
+	if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) {
 		return nil
 	}
 	if coldRate > 0 && now.Before(ep.coldUntil) &&
@@ -20,12 +20,12 @@
 		return nil
 	}
 	if fl.hasLimit(ep, now) {
-		ep.limit.level--
+		ep.said.limit.level--
 	}
 	ep.ownLoad.Requests += load.Requests
 	ep.ownLoad.Tokens += load.Tokens
 	ep.ownLoad.PrefillTokens += load.PrefillTokens
-	return &InFlight{fl: fl, ep: ep, load: load}
+	return &InFlight{fl: fl, ep: ep, load: load, isFirst: ep.said.wait.begin()}
 }
 
 // MarkPrefilled records that the endpoint has finished the prefill of the request.
@@ -62,6 +62,9 @@
 	fi.markPrefilledLocked()
 	fi.ep.ownLoad.Requests -= fi.load.Requests
 	fi.ep.ownLoad.Tokens -= fi.load.Tokens
+	if fi.isFirst {
+		fi.ep.said.wait.isTried = false
+	}
 	now := fi.fl.opts.Clock.Now()
 	switch oc {
 	case Succeeded:
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -8,24 +8,12 @@
 )
 
 type (
-	// Limit is the rate of requests that an endpoint takes from all hosts together, as it says in its responses.
-	Limit struct {
-		// Endpoint and StartTimeMs identify the start of the endpoint.
-		Endpoint    string
-		StartTimeMs int64
-		// PerSecond is the rate in requests per second; zero means that the endpoint names none any more.
-		PerSecond float64
-		// AsOf is the time from which the statement is known to hold.
-		AsOf time.Time
-	}
-
-	// LimitChange is a change of what a host knows of an endpoint's limit.
-	LimitChange struct {
-		Limit
-		// Service is the service of the endpoint.
-		Service string
-		// FromPeer reports that another host got the response.
-		FromPeer bool
+	// namedLimit is the rate of requests that an endpoint takes from all hosts together, as it says in a response.
+	namedLimit struct {
+		// perSecond is the rate in requests per second; zero means that the endpoint names none any more.
+		perSecond float64
+		// asOf is the time from which the statement is known to hold.
+		asOf time.Time
 	}
 
 	// requestLimit is the limit of an endpoint.
@@ -34,8 +22,6 @@
 		asOf      time.Time
 		// ownAsOf is the time as of which a response to this host said so; zero if only other hosts say it.
 		ownAsOf time.Time
-		// isInvalidKnown is set once the endpoint has named an invalid limit.
-		isInvalidKnown bool
 
 		// level is the number of requests that this host may send now, as of refilledAt.
 		level      float64
@@ -72,71 +58,35 @@
 	maxStatementDelay = 500 * time.Millisecond
 )
 
-// RecordLimit records the limit that an endpoint names in a response, in requests per second.
-func (fl *Fleet) RecordLimit(id string, startTimeMs int64, perSecond float64) {
-	fl.applyLimit(Limit{Endpoint: id, StartTimeMs: startTimeMs, PerSecond: max(perSecond, minLimit), AsOf: fl.opts.Clock.Now()}, false)
-}
-
-// RecordNoLimit records a response without a limit to a request that was sent at sentAt. If that was before a limit was
-// named, the limit remains, as responses may overtake each other.
-func (fl *Fleet) RecordNoLimit(id string, startTimeMs int64, sentAt time.Time) {
-	fl.applyLimit(Limit{Endpoint: id, StartTimeMs: startTimeMs, AsOf: sentAt}, false)
-}
-
-// RecordInvalidLimit records that an endpoint named an invalid limit, which changes nothing. It reports whether that is
-// the first one.
-func (fl *Fleet) RecordInvalidLimit(id string) bool {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	ep := fl.endpoints[id]
-	if ep == nil || ep.limit.isInvalidKnown {
-		return false
-	}
-	ep.limit.isInvalidKnown = true
-	return true
-}
-
-// applyLimit applies a statement that is newer than the known one.
-func (fl *Fleet) applyLimit(li Limit, fromPeer bool) {
-	if lc, ok := fl.storeLimit(li, fromPeer); ok && fl.opts.OnLimitChange != nil {
-		fl.opts.OnLimitChange(lc)
-	}
-}
-
-// storeLimit stores a statement; ok is false if nothing changes but its time.
-func (fl *Fleet) storeLimit(li Limit, fromPeer bool) (lc LimitChange, ok bool) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	ep := fl.endpoints[li.Endpoint]
-	if ep == nil || ep.entry.StartTimeMs != li.StartTimeMs {
-		return lc, false
-	}
-	ownAsOf := li.AsOf
+// setLimit sets the limit of an endpoint, unless what is known is newer. It reports whether more than its time changes.
+func (fl *Fleet) setLimit(ep *endpoint, nl namedLimit, fromPeer bool) bool {
+	ownAsOf := nl.asOf
 	if fromPeer {
 		ownAsOf = time.Time{}
 	}
-	if ep.limit.perSecond == li.PerSecond {
-		if li.PerSecond > 0 {
-			ep.limit.asOf, ep.limit.ownAsOf = later(ep.limit.asOf, li.AsOf), later(ep.limit.ownAsOf, ownAsOf)
+	li := &ep.said.limit
+	if li.perSecond == nl.perSecond {
+		if nl.perSecond > 0 {
+			li.asOf, li.ownAsOf = later(li.asOf, nl.asOf), later(li.ownAsOf, ownAsOf)
 		}
-		return lc, false
+		return false
 	}
-	if !ep.limit.isReplacedBy(li, fromPeer) {
-		return lc, false
+	if !li.isReplacedBy(nl, fromPeer) {
+		return false
 	}
-	if ep.limit.perSecond == 0 {
-		ep.limit.level, ep.limit.refilledAt = 0, fl.opts.Clock.Now()
+	if li.perSecond == 0 {
+		li.level, li.refilledAt = 0, fl.opts.Clock.Now()
 	}
-	ep.limit.perSecond, ep.limit.asOf, ep.limit.ownAsOf = li.PerSecond, li.AsOf, ownAsOf
-	return LimitChange{Limit: li, Service: ep.entry.Service, FromPeer: fromPeer}, true
+	li.perSecond, li.asOf, li.ownAsOf = nl.perSecond, nl.asOf, ownAsOf
+	return true
 }
 
 // isReplacedBy reports whether a statement with another limit replaces the known one. In doubt the endpoint names a limit:
 // statements of other hosts may be older than they seem.
-func (rl requestLimit) isReplacedBy(li Limit, fromPeer bool) bool {
-	asOf := li.AsOf
+func (rl requestLimit) isReplacedBy(nl namedLimit, fromPeer bool) bool {
+	asOf := nl.asOf
 	switch {
-	case fromPeer && li.PerSecond == 0:
+	case fromPeer && nl.perSecond == 0:
 		asOf = asOf.Add(-maxStatementDelay)
 	case fromPeer && rl.perSecond == 0:
 		asOf = asOf.Add(maxStatementDelay)
@@ -144,60 +94,6 @@
 	return !asOf.Before(rl.asOf)
 }
 
-// MergeLimit records what another host knows of an endpoint's limit.
-func (fl *Fleet) MergeLimit(li Limit) {
-	if li.PerSecond != 0 {
-		li.PerSecond = max(li.PerSecond, minLimit)
-	}
-	if now := fl.opts.Clock.Now(); li.AsOf.After(now) {
-		li.AsOf = now
-	}
-	fl.applyLimit(li, true)
-}
-
-// Limits returns what endpoints said in responses to this host: the limits that they name, and those that have ended
-// recently. What other hosts say is left out, since its age would seem lower with each host that passes it on.
-func (fl *Fleet) Limits() []Limit {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	now := fl.opts.Clock.Now()
-	var out []Limit
-	for id, ep := range fl.endpoints {
-		asOf := ep.limit.ownAsOf
-		if !asOf.IsZero() && (fl.hasLimit(ep, now) || now.Sub(asOf) < endedRetention) {
-			out = append(out, Limit{Endpoint: id, StartTimeMs: ep.entry.StartTimeMs, PerSecond: ep.limit.perSecond, AsOf: asOf})
-		}
-	}
-	return out
-}
-
-// UntilWithinLimit returns the shortest time until this host may send a request to an endpoint of a service; ok is false
-// unless all its endpoints that get requests name a limit.
-func (fl *Fleet) UntilWithinLimit(service string) (d time.Duration, ok bool) {
-	fl.mu.Lock()
-	defer fl.mu.Unlock()
-	now := fl.opts.Clock.Now()
-	for _, ep := range fl.endpoints {
-		if ep.entry.Service != service || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
-			continue
-		}
-		if !fl.hasLimit(ep, now) {
-			return 0, false
-		}
-		// Without a share the client has to ask another host, which has one after about this time.
-		rate := max(ep.limit.perSecond/float64(max(1, len(fl.hosts))), minLimit)
-		missing := 1.0
-		if share := fl.limitShare(ep, now); share > 0 {
-			rate, missing = share, 1-ep.limit.level
-		}
-		wait := time.Duration(max(0, missing) / rate * float64(time.Second))
-		if !ok || wait < d {
-			d, ok = wait, true
-		}
-	}
-	return d, ok
-}
-
 // CountCall counts a call to an endpoint that is not held back by the endpoint's limit, such as an order. The next
 // requests wait for it.
 func (fl *Fleet) CountCall(id string) {
@@ -206,17 +102,17 @@
 	now := fl.opts.Clock.Now()
 	if ep := fl.endpoints[id]; ep != nil && fl.hasLimit(ep, now) {
 		fl.refillLimit(ep, now)
-		ep.limit.level--
+		ep.said.limit.level--
 	}
 }
 
 // hasLimit reports whether an endpoint names a limit. A limit that no host has heard of for long is forgotten, by one host
 // after the other.
 func (fl *Fleet) hasLimit(ep *endpoint, now time.Time) bool {
-	if ep.limit.perSecond == 0 {
+	if ep.said.limit.perSecond == 0 {
 		return false
 	}
-	if age := now.Sub(ep.limit.asOf); age > limitRetention {
+	if age := now.Sub(ep.said.limit.asOf); age > limitRetention {
 		spread := float64(rendezvous.Score(ep.hash, fl.hostHash)>>11) / (1 << 53)
 		return age <= limitRetention+time.Duration(spread*float64(limitRetentionSpread))
 	}
@@ -229,12 +125,12 @@
 		return true
 	}
 	fl.refillLimit(ep, now)
-	return ep.limit.level >= 1
+	return ep.said.limit.level >= 1
 }
 
 // refillLimit adds the requests that this host may send since the last call.
 func (fl *Fleet) refillLimit(ep *endpoint, now time.Time) {
-	li := &ep.limit
+	li := &ep.said.limit
 	share := fl.limitShare(ep, now)
 	elapsed := max(0, now.Sub(li.refilledAt))
 	li.refilledAt = now
@@ -244,7 +140,7 @@
 // limitShare returns the rate, in requests per second, at which this host may send to an endpoint. The shares of all hosts
 // add up to the limit. As long as hosts differ in the list of hosts, those of the hosts that are unsure come on top.
 func (fl *Fleet) limitShare(ep *endpoint, now time.Time) float64 {
-	li := &ep.limit
+	li := &ep.said.limit
 	if senders := min(len(fl.hosts), 1+int(min(li.perSecond, math.MaxInt32)/requestsPerSender)); senders != li.senderCount || li.hostsVersion != fl.hostsVersion {
 		li.senderCount, li.hostsVersion = senders, fl.hostsVersion
 		li.isSender = isAmongFirst(ep.hash, fl.opts.Host, fl.hosts, senders)
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -20,6 +20,16 @@
 	limitStep   = 20 * time.Millisecond
 )
 
+// recordLimit records a limit that an endpoint names in a response.
+func recordLimit(fl *fleet.Fleet, id string, startTimeMs int64, perSecond float64) {
+	fl.RecordStatement(id, startTimeMs, fleet.Statement{Limit: perSecond, HasLimit: true}, time.Time{}, true)
+}
+
+// recordNoLimit records a response without a limit to a request that was sent at sentAt.
+func recordNoLimit(fl *fleet.Fleet, id string, startTimeMs int64, sentAt time.Time) {
+	fl.RecordStatement(id, startTimeMs, fleet.Statement{}, sentAt, true)
+}
+
 // limitedFleet simulates hosts that send requests to an endpoint which names a limit.
 type limitedFleet struct {
 	ck    *clockwork.FakeClock
@@ -41,7 +51,7 @@
 	for _, fl := range lf.hosts {
 		fl.SetHosts(lf.names)
 		fl.Put(newEntry("needy"))
-		fl.RecordLimit("needy", 1, limit)
+		recordLimit(fl, "needy", 1, limit)
 	}
 	return lf
 }
@@ -54,7 +64,7 @@
 		if len(lf.sent) > 0 && !lf.ck.Now().Before(exchangeAt) {
 			exchangeAt = exchangeAt.Add(time.Second)
 			for _, fl := range lf.hosts {
-				fl.MergeLimit(fleet.Limit{Endpoint: "needy", StartTimeMs: 1, PerSecond: lf.limit, AsOf: lf.sent[len(lf.sent)-1]})
+				fl.MergeStatement(fleet.PeerStatement{Endpoint: "needy", StartTimeMs: 1, PerSecond: lf.limit, LimitAsOf: lf.sent[len(lf.sent)-1]})
 			}
 		}
 		for _, fl := range lf.hosts {
@@ -63,7 +73,7 @@
 			}
 			if fi := fl.Begin("needy", fleet.Load{Requests: 1}, 0); fi != nil {
 				fi.End(fleet.Succeeded, 0)
-				fl.RecordLimit("needy", 1, lf.limit)
+				recordLimit(fl, "needy", 1, lf.limit)
 				lf.sent = append(lf.sent, lf.ck.Now())
 			}
 		}
@@ -131,24 +141,24 @@
 func TestLimitEndsOnlyByNewerResponse(t *testing.T) {
 	ck := clockwork.NewFakeClock()
 	var changes []float64
-	fl := fleet.New(fleet.Options{Clock: ck, Host: "host", OnLimitChange: func(lc fleet.LimitChange) { changes = append(changes, lc.PerSecond) }})
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host", OnStatementChange: func(sc fleet.StatementChange) { changes = append(changes, sc.PerSecond) }})
 	fl.Put(newEntry("a"))
 	sentBefore := ck.Now()
 	ck.Advance(50 * time.Millisecond)
-	fl.RecordLimit("a", 1, 3)
-	fl.RecordNoLimit("a", 1, sentBefore)
-	fl.RecordNoLimit("a", 2, ck.Now())
-	fl.MergeLimit(fleet.Limit{Endpoint: "a", StartTimeMs: 1, AsOf: ck.Now().Add(100 * time.Millisecond)})
+	recordLimit(fl, "a", 1, 3)
+	recordNoLimit(fl, "a", 1, sentBefore)
+	recordNoLimit(fl, "a", 2, ck.Now())
+	fl.MergeStatement(fleet.PeerStatement{Endpoint: "a", StartTimeMs: 1, LimitAsOf: ck.Now().Add(100 * time.Millisecond)})
 	require.Equal(t, []float64{3}, changes)
 	ck.Advance(time.Second)
-	fl.RecordNoLimit("a", 1, ck.Now())
+	recordNoLimit(fl, "a", 1, ck.Now())
 	require.Equal(t, []float64{3, 0}, changes)
-	fl.MergeLimit(fleet.Limit{Endpoint: "a", StartTimeMs: 1, PerSecond: 3, AsOf: ck.Now().Add(-time.Second)})
+	fl.MergeStatement(fleet.PeerStatement{Endpoint: "a", StartTimeMs: 1, PerSecond: 3, LimitAsOf: ck.Now().Add(-time.Second)})
 	require.Equal(t, []float64{3, 0}, changes, "another host tells what was said before the end")
-	fl.MergeLimit(fleet.Limit{Endpoint: "a", StartTimeMs: 1, PerSecond: 2, AsOf: ck.Now()})
+	fl.MergeStatement(fleet.PeerStatement{Endpoint: "a", StartTimeMs: 1, PerSecond: 2, LimitAsOf: ck.Now()})
 	require.Equal(t, []float64{3, 0, 2}, changes, "in doubt there is a limit")
 	ck.Advance(time.Second)
-	fl.MergeLimit(fleet.Limit{Endpoint: "a", StartTimeMs: 1, AsOf: ck.Now()})
+	fl.MergeStatement(fleet.PeerStatement{Endpoint: "a", StartTimeMs: 1, LimitAsOf: ck.Now()})
 	require.Equal(t, []float64{3, 0, 2, 0}, changes)
 }
 
@@ -159,13 +169,13 @@
 	fl.Put(newEntry("a"))
 	fl.Put(newEntry("b"))
 	named := ck.Now()
-	fl.RecordLimit("a", 1, 3)
-	fl.MergeLimit(fleet.Limit{Endpoint: "b", StartTimeMs: 1, PerSecond: 2, AsOf: ck.Now()})
+	recordLimit(fl, "a", 1, 3)
+	fl.MergeStatement(fleet.PeerStatement{Endpoint: "b", StartTimeMs: 1, PerSecond: 2, LimitAsOf: ck.Now()})
 	ck.Advance(10 * time.Second)
-	fl.MergeLimit(fleet.Limit{Endpoint: "a", StartTimeMs: 1, PerSecond: 3, AsOf: ck.Now()})
-	require.Equal(t, []fleet.Limit{{Endpoint: "a", StartTimeMs: 1, PerSecond: 3, AsOf: named}}, fl.Limits())
+	fl.MergeStatement(fleet.PeerStatement{Endpoint: "a", StartTimeMs: 1, PerSecond: 3, LimitAsOf: ck.Now()})
+	require.Equal(t, []fleet.PeerStatement{{Endpoint: "a", StartTimeMs: 1, PerSecond: 3, LimitAsOf: named}}, fl.Statements())
 	ck.Advance(2 * time.Minute)
-	require.Empty(t, fl.Limits())
+	require.Empty(t, fl.Statements())
 	require.False(t, fl.Views("engines")[0].Limited, "nobody has heard of the limit for long")
 }
 
@@ -174,7 +184,7 @@
 func TestLimitBelongsToStartOfEndpoint(t *testing.T) {
 	fl := fleet.New(fleet.Options{Clock: clockwork.NewFakeClock(), Host: "host"})
 	fl.Put(newEntry("a"))
-	fl.RecordLimit("a", 1, 3)
+	recordLimit(fl, "a", 1, 3)
 	fl.Remove("a")
 	fl.Put(newEntry("a"))
 	require.True(t, fl.Views("engines")[0].Limited)
@@ -192,9 +202,9 @@
 	for i := range 6 {
 		fl.Put(newEntry(fmt.Sprint("engine-", i)))
 	}
-	fl.RecordLimit("engine-0", 1, 0)
+	recordLimit(fl, "engine-0", 1, 0)
 	require.NotContains(t, ids(fl.Sample("engines", "", "key", 18)), "engine-0")
-	_, ok := fl.UntilWithinLimit("engines")
+	_, ok := fl.UntilAvailable("engines")
 	require.False(t, ok)
 	// The first 8 s count a quarter.
 	ck.Advance(18 * time.Second)
@@ -203,9 +213,9 @@
 	require.Nil(t, fl.Begin("engine-0", fleet.Load{Requests: 1}, 0))
 	require.NotContains(t, ids(fl.Sample("engines", "", "key", 18)), "engine-0")
 	for i := range 6 {
-		fl.RecordLimit(fmt.Sprint("engine-", i), 1, 0.5)
+		recordLimit(fl, fmt.Sprint("engine-", i), 1, 0.5)
 	}
-	wait, ok := fl.UntilWithinLimit("engines")
+	wait, ok := fl.UntilAvailable("engines")
 	require.True(t, ok)
 	require.Greater(t, wait, time.Second)
 	require.Empty(t, fl.Sample("engines", "", "key", 18))
--- a/internal/fleet/sample.go
+++ b/internal/fleet/sample.go
@@ -29,7 +29,7 @@
 // the request's key, so that hosts with the same view do not all choose the same endpoint. If zone is not
 // empty and has enough endpoints, all but one are in that availability zone. Endpoints that are avoided or
 // load new weights are left out unless there are hardly any others, and those of whose limit this host has used up its
-// share always. One that names a limit and takes a request from this host comes on top of the limit of the sample.
+// share, or that want none now, always. One that names a limit and takes a request from this host comes on top of the limit of the sample.
 func (fl *Fleet) Sample(service, zone, key string, limit int) []View {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -43,7 +43,7 @@
 		if ep.entry.Service != service || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
 			continue
 		}
-		if !fl.isWithinLimit(ep, now) {
+		if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) {
 			continue
 		}
 		if now.Before(ep.avoidUntil) || now.Before(ep.loadingUntil) {
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -55,7 +55,7 @@
 
 // refuseUnplaced refuses a request for which there is no endpoint.
 func (fw *forwarder) refuseUnplaced(remaining time.Duration, cause error) {
-	wait, isLimited := fw.gw.opts.Fleet.UntilWithinLimit(fw.rq.service.Name)
+	wait, isLimited := fw.gw.opts.Fleet.UntilAvailable(fw.rq.service.Name)
 	if !isLimited || fw.headerWritten || fw.mayHaveRun {
 		fw.refuse("no-endpoint", cause)
 		return
--- a/internal/gateway/faulty_endpoint_test.go
+++ b/internal/gateway/faulty_endpoint_test.go
@@ -104,7 +104,8 @@
 		WeightsTimeLeft:  func(string, uint64) (time.Duration, bool) { return 0, false },
 	})
 	routes := []catalog.Route{
-		{Name: "pay", MaxAttempts: 3}, {Name: "look", MaxAttempts: 3, Kind: catalog.Idempotent},
+		{Name: "pay", MaxAttempts: 3},
+		{Name: "look", MaxAttempts: 3, Kind: catalog.Idempotent},
 		{Name: "query", MaxAttempts: 3, Kind: catalog.Streaming, Resumable: true},
 	}
 	for i := range routes {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -217,6 +217,9 @@
 		return stepGiveUp, err
 	}
 	defer rs.Close()
+	for _, hd := range rs.Interim {
+		fw.recordStatement(pl, gw.opts.Codec.DecodeResponseMeta(http.StatusContinue, hd).Statement, false)
+	}
 	me := gw.opts.Codec.DecodeResponseMeta(rs.Status, rs.Header)
 	fw.updateFleet(pl, me)
 	if me.NotExecuted {
@@ -301,20 +304,13 @@
 	if me.ColdFor > 0 {
 		fl.MarkCold(pl.view.ID, me.ColdFor)
 	}
-	fw.recordLimit(pl, me)
+	fw.recordStatement(pl, me.Statement, !me.NotExecuted)
 }
 
-// recordLimit records the limit that an endpoint names. Only a response to a request that ran tells that it names none.
-func (fw *forwarder) recordLimit(pl plan, me ResponseMeta) {
-	fl := fw.gw.opts.Fleet
-	if me.InvalidLimit != "" && fl.RecordInvalidLimit(pl.view.ID) {
-		fw.gw.opts.Log.WithFields(logrus.Fields{"endpoint": pl.view.ID, "value": me.InvalidLimit}).Warn("Endpoint's limit is invalid.")
-	}
-	switch {
-	case me.HasLimit:
-		fl.RecordLimit(pl.view.ID, pl.view.StartTimeMs, me.Limit)
-	case !me.NotExecuted && me.InvalidLimit == "":
-		fl.RecordNoLimit(pl.view.ID, pl.view.StartTimeMs, pl.sentAt)
+// recordStatement records what an endpoint says of itself in a response to a request that has run or not.
+func (fw *forwarder) recordStatement(pl plan, st fleet.Statement, hasRun bool) {
+	if fw.gw.opts.Fleet.RecordStatement(pl.view.ID, pl.view.StartTimeMs, st, pl.sentAt, hasRun) {
+		fw.gw.opts.Log.WithFields(logrus.Fields{"endpoint": pl.view.ID, "field": st.Invalid}).Warn("Endpoint's statement is invalid.")
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/catalog"
+	"github.com/bergamotway/bergamotway/internal/fleet"
 )
 
 type (
@@ -94,11 +95,8 @@
 		WeightVersion uint64
 		// ColdFor is the time for which the endpoint remains cold.
 		ColdFor time.Duration
-		// Limit is the rate of requests that the endpoint takes from all hosts together, in requests per second, and
-		// HasLimit whether it names one. InvalidLimit is the text of one that cannot be used; empty if there is none.
-		Limit        float64
-		HasLimit     bool
-		InvalidLimit string
+		// Statement is what the endpoint says of itself.
+		Statement fleet.Statement
 		// CloseRequested reports that the endpoint asks to close the connection.
 		CloseRequested bool
 	}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/statement_test.go
@@ -57,3 +57,41 @@
 		})
 	}
 }
+
+// Guards against a request that is held, or sent all the same, while all endpoints want none.
+func TestRequestIsRefusedAtOnceWhileAllEndpointsWait(t *testing.T) {
+	gw, ep := newGateway(t, 0)
+	ep.TurnAway("20")
+	start := time.Now()
+	for range 3 {
+		rec := serveOnce(gw, "/pay/1")
+		require.Equal(t, http.StatusServiceUnavailable, rec.Code)
+		seconds, err := strconv.ParseFloat(rec.Header().Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.LessOrEqual(t, seconds, 1.0)
+	}
+	require.Equal(t, "limited\n", serveOnce(gw, "/pay/1").Body.String())
+	require.Less(t, time.Since(start), 2500*time.Millisecond)
+	require.Equal(t, 1, ep.ReceivedSince(start))
+}
+
+// Guards against a statement that is only in an interim response, or in a response that breaks off after its head.
+func TestLeavingInAnyResponseCounts(t *testing.T) {
+	for name, response := range map[string]string{
+		"failure":       "HTTP/1.1 500 Internal Server Error\r\n" + sealedHeader + "Server-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"rejection":     "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: %s\r\nX-Not-Executed: 1\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"interim":       "HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\nHTTP/1.1 200 OK\r\n" + sealedHeader + "Content-Length: 0\r\n\r\n",
+		"head only":     "HTTP/1.1 200 OK\r\n" + sealedHeader + "Server-Leaving: 1\r\nContent-Length: 9\r\n\r\n",
+		"broken stream": "HTTP/1.1 200 OK\r\n" + sealedHeader + "Server-Leaving: 1\r\n\r\nid: 1\nda",
+	} {
+		t.Run(name, func(t *testing.T) {
+			se := &scriptedEndpoint{parts: []string{response}}
+			startScriptedEndpoint(t, se)
+			gw := newGatewayTo(t, 0, se.listener.Addr().String())
+			serveOnce(gw, "/pay/1")
+			rec := serveOnce(gw, "/pay/2")
+			require.Equal(t, "no-endpoint\n", rec.Body.String())
+			require.Equal(t, int64(1), se.opened.Load())
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,7 +146,7 @@
 		reregister:        make(chan struct{}, 1),
 		quarantine:        quarantine.NewTracker(ck),
 	}
-	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnLimitChange: no.noteLimitChange})
+	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement})
 	no.hostCount.Store(1)
 	no.currentSettings.Store(&st)
 	setMemoryLimit(st.MemoryMiB)
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -48,11 +48,7 @@
 		}
 	}
 	now := no.ck.Now()
-	for _, li := range no.fleet.Limits() {
-		dg.Limits = append(dg.Limits, peering.EndpointLimit{
-			Endpoint: li.Endpoint, StartTimeMs: li.StartTimeMs, PerSecond: li.PerSecond, AgeUs: now.Sub(li.AsOf).Microseconds(),
-		})
-	}
+	dg.Statements = no.endpointStatements(now)
 	// The clock is read before the revision of the gates: if the gates change in between, peers get a
 	// shorter grant or none, never a longer one.
 	if clock := no.cache.Clock(); clock > 0 && no.isRegistered() {
@@ -151,11 +147,7 @@
 		no.fleet.UpdateWeights(we.Endpoint, we.Model, we.Version)
 	}
 	now := no.ck.Now()
-	for _, el := range dg.Limits {
-		no.fleet.MergeLimit(fleet.Limit{
-			Endpoint: el.Endpoint, StartTimeMs: el.StartTimeMs, PerSecond: el.PerSecond, AsOf: now.Add(-time.Duration(el.AgeUs) * time.Microsecond),
-		})
-	}
+	no.mergeStatements(dg.Statements, now)
 	for _, cr := range dg.Crashes {
 		if cr.Reporter == no.st.Name {
 			continue
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -50,15 +50,19 @@
 		Loading  bool   `json:"l,omitempty"`
 	}
 
-	// EndpointLimit reports the limit that an endpoint named in a response to the sender; see package fleet.
-	EndpointLimit struct {
+	// EndpointStatement reports what an endpoint said of itself in responses to the sender; see package fleet.
+	EndpointStatement struct {
 		Endpoint string `json:"e"`
 		// StartTimeMs is the start time of the endpoint, in Unix milliseconds.
 		StartTimeMs int64 `json:"b"`
-		// PerSecond is the limit in requests per second; zero means that the endpoint names none any more.
-		PerSecond float64 `json:"l,omitempty"`
-		// AgeUs is the time since the response, in microseconds.
-		AgeUs int64 `json:"a"`
+		// PerSecond is the limit in requests per second; zero means that the endpoint names none any more. LimitAgeUs is the
+		// time since the response, in microseconds; nil means that nothing is known of a limit.
+		PerSecond  float64 `json:"l,omitempty"`
+		LimitAgeUs *int64  `json:"a,omitempty"`
+		// IsLeaving reports that the endpoint is about to stop.
+		IsLeaving bool `json:"v,omitempty"`
+		// WaitUs is the time for which the endpoint wants no more requests from the sender, in microseconds.
+		WaitUs int64 `json:"w,omitempty"`
 	}
 
 	// CacheStoreState holds the state of a cache store as the aggregator knows it.
@@ -169,8 +173,8 @@
 		UnreachableBy map[string]int    `json:"d,omitempty"`
 		Loads         Loads             `json:"l,omitempty"`
 		Weights       []EndpointWeights `json:"w,omitempty"`
-		// Limits lists the limits that endpoints name.
-		Limits []EndpointLimit `json:"e,omitempty"`
+		// Statements lists what endpoints say of themselves.
+		Statements []EndpointStatement `json:"e,omitempty"`
 		// Crashes lists requests that were running during recent crashes. Cleared lists the fingerprints
 		// of those that have been answered since.
 		Crashes []CrashReport `json:"q,omitempty"`
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -238,14 +238,15 @@
 	hosts := startHosts(t, 20)
 	for i, ho := range hosts[:3] {
 		ho.mu.Lock()
-		ho.extra = peering.Digest{Limits: []peering.EndpointLimit{{Endpoint: "engine", StartTimeMs: 1, PerSecond: float64(i + 1), AgeUs: int64(1000 * (3 - i))}}}
+		age := int64(1000 * (3 - i))
+		ho.extra = peering.Digest{Statements: []peering.EndpointStatement{{Endpoint: "engine", StartTimeMs: 1, PerSecond: float64(i + 1), LimitAgeUs: &age}}}
 		ho.mu.Unlock()
 	}
 	for _, ho := range hosts {
 		require.Eventually(t, func() bool {
 			ho.mu.Lock()
 			defer ho.mu.Unlock()
-			return len(ho.last.Limits) == 1 && ho.last.Limits[0].PerSecond == 3
+			return len(ho.last.Statements) == 1 && ho.last.Statements[0].PerSecond == 3
 		}, waitTimeout, pollInterval, ho.name)
 	}
 }
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -41,8 +42,8 @@
 	maxReportAge = 1500 * time.Millisecond
 	// maxMergedCrashes limits the crashes in a merged digest, to about 10 KB.
 	maxMergedCrashes = 128
-	// maxMergedLimits limits the limits of endpoints in a merged digest, to about 10 KB.
-	maxMergedLimits = 160
+	// maxMergedStatements limits the statements of endpoints in a merged digest, to about 10 KB.
+	maxMergedStatements = 160
 	// maxAccusedParts, maxClearedParts and maxMergedVerdicts limit what a merged digest says about parts of prompts,
 	// to about 20 KB.
 	maxAccusedParts   = 1024
@@ -134,30 +135,51 @@
 	for fp := range cleared {
 		out.Cleared = append(out.Cleared, fp)
 	}
-	out.Limits = mergeLimits(digests)
+	out.Statements = mergeStatements(digests)
 	mergePartState(&out, digests)
 	return out
 }
 
-// mergeLimits returns the newest limit of each start of an endpoint, at most maxMergedLimits of them.
-func mergeLimits(digests []Digest) []EndpointLimit {
+// mergeStatements returns for each start of an endpoint the newest limit, the longest wait and whether it leaves, at most
+// maxMergedStatements of them. Those that leave come first, since no later response to another host may say so.
+func mergeStatements(digests []Digest) []EndpointStatement {
 	type startKey struct {
 		endpoint    string
 		startTimeMs int64
 	}
-	newest := make(map[startKey]EndpointLimit)
+	merged := make(map[startKey]EndpointStatement)
 	for _, dg := range digests {
-		for _, el := range dg.Limits {
-			key := startKey{el.Endpoint, el.StartTimeMs}
-			if known, ok := newest[key]; !ok || el.AgeUs < known.AgeUs {
-				newest[key] = el
+		for _, es := range dg.Statements {
+			key := startKey{es.Endpoint, es.StartTimeMs}
+			known, ok := merged[key]
+			if !ok {
+				merged[key] = es
+				continue
 			}
+			if es.LimitAgeUs != nil && (known.LimitAgeUs == nil || *es.LimitAgeUs < *known.LimitAgeUs) {
+				known.PerSecond, known.LimitAgeUs = es.PerSecond, es.LimitAgeUs
+			}
+			known.IsLeaving = known.IsLeaving || es.IsLeaving
+			known.WaitUs = max(known.WaitUs, es.WaitUs)
+			merged[key] = known
 		}
 	}
-	out := slices.SortedFunc(maps.Values(newest), func(a, b EndpointLimit) int {
-		return cmp.Or(cmp.Compare(a.AgeUs, b.AgeUs), cmp.Compare(a.Endpoint, b.Endpoint))
+	out := slices.SortedFunc(maps.Values(merged), func(a, b EndpointStatement) int {
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.Endpoint, b.Endpoint))
 	})
-	return out[:min(len(out), maxMergedLimits)]
+	return out[:min(len(out), maxMergedStatements)]
+}
+
+// rank orders statements by what they are worth to other hosts: those that leave, then by the age of the limit, then waits.
+func (es EndpointStatement) rank() int64 {
+	switch {
+	case es.IsLeaving:
+		return -1
+	case es.LimitAgeUs != nil:
+		return *es.LimitAgeUs
+	default:
+		return math.MaxInt64
+	}
 }
 
 // mergePartState merges the reports about parts of prompts into out.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -38,20 +38,20 @@
 
 // Meter holds the metrics of a host. It is safe for concurrent use.
 type Meter struct {
-	handler          http.Handler
-	refusals         metric.Int64Counter
-	retries          metric.Int64Counter
-	dispatches       metric.Int64Counter
-	historyTokens    metric.Int64Counter
-	timeToFirstToken metric.Float64Histogram
-	platformCalls    metric.Int64Counter
-	controlTraffic   metric.Int64Counter
-	linkBytes        metric.Int64Counter
-	requests         metric.Int64Counter
-	connections      metric.Int64Counter
-	partQuarantine   metric.Int64Counter
-	endpointLimits   metric.Int64Counter
-	acceleratorTime  metric.Float64Counter
+	handler            http.Handler
+	refusals           metric.Int64Counter
+	retries            metric.Int64Counter
+	dispatches         metric.Int64Counter
+	historyTokens      metric.Int64Counter
+	timeToFirstToken   metric.Float64Histogram
+	platformCalls      metric.Int64Counter
+	controlTraffic     metric.Int64Counter
+	linkBytes          metric.Int64Counter
+	requests           metric.Int64Counter
+	connections        metric.Int64Counter
+	partQuarantine     metric.Int64Counter
+	endpointStatements metric.Int64Counter
+	acceleratorTime    metric.Float64Counter
 
 	controlBytesTotal   atomic.Int64
 	platformReadsTotal  atomic.Int64
@@ -89,7 +89,7 @@
 		{&me.linkBytes, "bergamotway.link.bytes", "Bytes moved over links of store hosts by direction."},
 		{&me.requests, "bergamotway.requests", "Requests by route and how they ended."},
 		{&me.connections, "bergamotway.connections", "Connections opened to endpoints."},
-		{&me.endpointLimits, "bergamotway.endpoint.limits", "Changes of the limits that endpoints name by kind."},
+		{&me.endpointStatements, "bergamotway.endpoint.statements", "Changes of what endpoints say of themselves by statement and change."},
 		{&me.partQuarantine, "bergamotway.part.quarantine", "Changes of the quarantine of prompt parts by kind."},
 	}
 	for _, c := range counters {
@@ -175,13 +175,13 @@
 	me.partQuarantine.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", kind)))
 }
 
-// EndpointLimitChanged counts a limit that an endpoint has named, or that has ended.
-func (me *Meter) EndpointLimitChanged(ended bool) {
-	kind := "named"
-	if ended {
-		kind = "ended"
+// EndpointStatementChanged counts a statement of an endpoint about itself, of the given kind, that has begun or ended.
+func (me *Meter) EndpointStatementChanged(kind string, hasEnded bool) {
+	change := "begun"
+	if hasEnded {
+		change = "ended"
 	}
-	me.endpointLimits.Add(context.Background(), 1, metric.WithAttributes(attribute.String("change", kind)))
+	me.endpointStatements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("statement", kind), attribute.String("change", change)))
 }
 
 // AddLinkBytes adds bytes transferred over a store host's link; direction is "import" or "export".
--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -51,10 +51,8 @@
 		AcceptedOrders uint64
 		// Versions holds the loaded weight versions by model.
 		Versions map[string]uint64
-		// Limit is the rate of requests that the engine takes from all hosts together, in requests per second, and
-		// HasLimit whether it names one.
-		Limit    float64
-		HasLimit bool
+		// Statement is what the engine says of itself.
+		Statement fleet.Statement
 	}
 
 	// Order tells an engine to load a version of a model's weights once its running requests have ended.
@@ -74,10 +72,12 @@
 
 	// Engines calls the engines. Implementations are safe for concurrent use.
 	Engines interface {
-		// FetchReport requests the state of the engine with the given identifier and address.
+		// FetchReport requests the state of the engine with the given identifier and address. The statement of the report
+		// is set also if the engine refuses the call.
 		FetchReport(ctx context.Context, address, id string) (Report, error)
-		// SendOrder sends an order. After an error the order may still be executed, now or later.
-		SendOrder(ctx context.Context, address, id string, od Order) (Reply, error)
+		// SendOrder sends an order and returns the reply and what the engine says of itself. After an error the order may
+		// still be executed, now or later.
+		SendOrder(ctx context.Context, address, id string, od Order) (Reply, fleet.Statement, error)
 	}
 
 	// Options configures a Controller. All fields are required.
@@ -223,7 +223,8 @@
 	}
 	for id, jb := range co.jobs {
 		vw, ok := viewByID[id]
-		if !ok || vw.Draining || vw.Address != jb.address || vw.Models[jb.model] >= jb.version && jb.confirmed {
+		isRefused := jb.orderedAt.IsZero() && vw.Waiting
+		if !ok || isRefused || vw.Draining || vw.Address != jb.address || vw.Models[jb.model] >= jb.version && jb.confirmed {
 			delete(co.jobs, id)
 			co.opts.Fleet.MarkLoading(id, time.Time{})
 		}
@@ -251,7 +252,7 @@
 	co.mu.Lock()
 	defer co.mu.Unlock()
 	for id, jb := range co.jobs {
-		if jb.callInFlight {
+		if jb.callInFlight || viewByID[id].Waiting {
 			continue
 		}
 		idle := viewByID[id].TotalLoad().Requests == 0
@@ -270,7 +271,7 @@
 // targetFor returns a model of which an engine has an older version than the target, and the target
 // version; ok reports whether there is one.
 func (co *Controller) targetFor(vw fleet.View) (model string, version uint64, ok bool) {
-	if vw.Draining || vw.Retained {
+	if vw.Draining || vw.Retained || vw.Waiting {
 		return "", 0, false
 	}
 	for name, current := range vw.Models {
@@ -314,14 +315,13 @@
 		co.mu.Unlock()
 	}()
 	co.opts.Fleet.CountCall(id)
+	sentAt := co.opts.Clock.Now()
 	rp, err := co.opts.Engines.FetchReport(ctx, jb.address, id)
+	co.recordStatement(id, jb, rp.Statement, sentAt)
 	if err != nil {
 		co.opts.Log.WithFields(logrus.Fields{"endpoint": id, "cause": err.Error()}).Warn("Cannot get the engine's report.")
 		return
 	}
-	if rp.HasLimit {
-		co.opts.Fleet.RecordLimit(id, jb.startTimeMs, rp.Limit)
-	}
 	now := co.opts.Clock.Now()
 	co.mu.Lock()
 	due := jb.orderedAt.IsZero() || now.Sub(jb.orderedAt) >= orderRetryInterval
@@ -337,7 +337,7 @@
 		co.opts.Log.WithFields(logrus.Fields{"endpoint": id, "model": jb.model, "version": loaded}).Info("Engine has loaded the target weights.")
 		return
 	}
-	if rp.Busy || !due {
+	if rp.Busy || !due || rp.Statement.IsLeaving || rp.Statement.Wait > 0 {
 		return
 	}
 	// This host may have lost the leadership during the call.
@@ -346,7 +346,8 @@
 	}
 	od := Order{Model: jb.model, Version: version, Holder: co.opts.Holder, FencingToken: token, ExpectedOrders: rp.AcceptedOrders}
 	co.opts.Fleet.CountCall(id)
-	re, err := co.opts.Engines.SendOrder(ctx, jb.address, id, od)
+	re, st, err := co.opts.Engines.SendOrder(ctx, jb.address, id, od)
+	co.recordStatement(id, jb, st, now)
 	co.mu.Lock()
 	jb.orderedAt = now
 	co.mu.Unlock()
@@ -358,3 +359,10 @@
 	}
 	co.opts.Log.WithFields(fields).Info("Engine was told to take weights.")
 }
+
+// recordStatement records what an engine says of itself in the response to a call that was sent at sentAt.
+func (co *Controller) recordStatement(id string, jb *job, st fleet.Statement, sentAt time.Time) {
+	if co.opts.Fleet.RecordStatement(id, jb.startTimeMs, st, sentAt, false) {
+		co.opts.Log.WithFields(logrus.Fields{"endpoint": id, "field": st.Invalid}).Warn("Endpoint's statement is invalid.")
+	}
+}
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -31,28 +31,32 @@
 	acceptedOrders map[string]uint64
 	orderedIDs     []string
 	ordersToLose   int
+	// reports counts the calls of FetchReport by engine, and statements holds what engines say in the responses.
+	reports    map[string]int
+	statements map[string]fleet.Statement
 }
 
 func (en *fakeEngines) FetchReport(_ context.Context, _, id string) (upgrade.Report, error) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
-	return upgrade.Report{AcceptedOrders: en.acceptedOrders[id], Versions: map[string]uint64{"m": en.versions[id]}}, nil
+	en.reports[id]++
+	return upgrade.Report{AcceptedOrders: en.acceptedOrders[id], Versions: map[string]uint64{"m": en.versions[id]}, Statement: en.statements[id]}, nil
 }
 
-func (en *fakeEngines) SendOrder(_ context.Context, _, id string, od upgrade.Order) (upgrade.Reply, error) {
+func (en *fakeEngines) SendOrder(_ context.Context, _, id string, od upgrade.Order) (upgrade.Reply, fleet.Statement, error) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	if od.ExpectedOrders != en.acceptedOrders[id] {
-		return upgrade.Conflict, nil
+		return upgrade.Conflict, fleet.Statement{}, nil
 	}
 	en.orderedIDs = append(en.orderedIDs, id)
 	en.acceptedOrders[id]++
 	if en.ordersToLose > 0 {
 		en.ordersToLose--
-		return 0, io.ErrUnexpectedEOF
+		return 0, fleet.Statement{}, io.ErrUnexpectedEOF
 	}
 	en.versions[id] = od.Version
-	return upgrade.Accepted, nil
+	return upgrade.Accepted, fleet.Statement{}, nil
 }
 
 // orders returns the engines that were sent orders.
@@ -81,7 +85,7 @@
 func startWaitingController(
 	t *testing.T, versions map[string]uint64, mayOrder func() bool, untilActive func() (time.Duration, bool),
 ) (*upgrade.Controller, *fakeEngines, *fleet.Fleet) {
-	en := &fakeEngines{versions: versions, acceptedOrders: make(map[string]uint64)}
+	en := &fakeEngines{versions: versions, acceptedOrders: make(map[string]uint64), reports: make(map[string]int), statements: make(map[string]fleet.Statement)}
 	fl := fleet.New(fleet.Options{Host: "host"})
 	for id, version := range versions {
 		fl.Put(fleet.Entry{ID: id, Service: "s", Address: id, Zone: "here", Slots: 8, Models: map[string]uint64{"m": version}})
@@ -135,6 +139,43 @@
 	require.Eventually(t, func() bool { return en.allHaveVersion(2) }, waitTimeout, pollInterval)
 }
 
+// Guards against reports and orders that reach an engine which wants nothing now, or leaves.
+func TestEngineThatWaitsOrLeavesGetsNoOrders(t *testing.T) {
+	t.Parallel()
+	for name, st := range map[string]fleet.Statement{"waits": {Wait: time.Hour}, "leaves": {IsLeaving: true}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var mayOrder atomic.Bool
+			co, en, fl := startController(t, map[string]uint64{"engine-1": 1, "engine-2": 1, "engine-3": 1}, mayOrder.Load)
+			fl.RecordStatement("engine-1", 0, st, time.Time{}, false)
+			en.mu.Lock()
+			en.statements["engine-2"] = st
+			en.mu.Unlock()
+			mayOrder.Store(true)
+			co.SetTarget("m", 2)
+			isUpgraded := func(id string) func() bool {
+				return func() bool {
+					en.mu.Lock()
+					defer en.mu.Unlock()
+					return en.versions[id] == 2
+				}
+			}
+			require.Eventually(t, isUpgraded("engine-3"), waitTimeout, pollInterval)
+			fl.Put(fleet.Entry{ID: "engine-4", Service: "s", Address: "engine-4", Zone: "here", Slots: 8, Models: map[string]uint64{"m": 1}})
+			en.mu.Lock()
+			en.versions["engine-4"] = 1
+			en.mu.Unlock()
+			require.Eventually(t, isUpgraded("engine-4"), waitTimeout, pollInterval)
+			en.mu.Lock()
+			defer en.mu.Unlock()
+			require.Zero(t, en.reports["engine-1"])
+			require.LessOrEqual(t, en.reports["engine-2"], 1)
+			require.NotContains(t, en.orderedIDs, "engine-1")
+			require.NotContains(t, en.orderedIDs, "engine-2")
+		})
+	}
+}
+
 func TestNoOrderWithoutLeadership(t *testing.T) {
 	t.Parallel()
 	var mu sync.Mutex
