--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -66,8 +66,8 @@
 			AgeUs: now.Sub(cr.DetectedAt).Microseconds(), RanUs: cr.DetectedAt.Sub(cr.RunStart).Microseconds(),
 		})
 	}
-	for _, fp := range cleared {
-		dg.Cleared = append(dg.Cleared, string(fp))
+	for _, cl := range cleared {
+		dg.Cleared = append(dg.Cleared, peering.ClearedRequest{Fingerprint: string(cl.Fingerprint), AgeUs: now.Sub(cl.At).Microseconds()})
 	}
 	no.addPartState(&dg)
 	return dg
@@ -158,8 +158,9 @@
 			RunStart: detectedAt.Add(-time.Duration(cr.RanUs) * time.Microsecond), DetectedAt: detectedAt,
 		})
 	}
-	for _, fp := range dg.Cleared {
-		no.quarantine.ClearSuspect(quarantine.Fingerprint(fp))
+	for _, cl := range dg.Cleared {
+		at := now.Add(-time.Duration(cl.AgeUs) * time.Microsecond)
+		no.quarantine.MergeCleared(quarantine.ClearedRequest{Fingerprint: quarantine.Fingerprint(cl.Fingerprint), At: at})
 	}
 	no.mergePartState(dg)
 	if dg.GateRevision != nil {
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -131,6 +131,13 @@
 		Companions []string `json:"w,omitempty"`
 	}
 
+	// ClearedRequest reports that a request that was running during a crash has been answered.
+	ClearedRequest struct {
+		Fingerprint string `json:"f"`
+		// AgeUs is the time since the response, in microseconds.
+		AgeUs int64 `json:"a"`
+	}
+
 	// ClearedPart reports a response to a request with a part that was running during a crash.
 	ClearedPart struct {
 		Part string `json:"p"`
@@ -175,10 +182,9 @@
 		Weights       []EndpointWeights `json:"w,omitempty"`
 		// Statements lists what endpoints say of themselves.
 		Statements []EndpointStatement `json:"e,omitempty"`
-		// Crashes lists requests that were running during recent crashes. Cleared lists the fingerprints
-		// of those that have been answered since.
-		Crashes []CrashReport `json:"q,omitempty"`
-		Cleared []string      `json:"f,omitempty"`
+		// Crashes lists requests that were running during recent crashes, Cleared those that have been answered since.
+		Crashes []CrashReport    `json:"q,omitempty"`
+		Cleared []ClearedRequest `json:"r,omitempty"`
 		// PartCrashes lists the parts that were running during recent crashes, ClearedParts the parts that have been
 		// answered since, and PartVerdicts the blocked ones.
 		PartCrashes  []PartCrash   `json:"i,omitempty"`
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -89,7 +89,7 @@
 	loads := make(map[Key]Load)
 	weights := make(map[EndpointWeights]bool)
 	crashes := make(map[string]CrashReport)
-	cleared := make(map[string]bool)
+	cleared := make(map[string]ClearedRequest)
 	out.HostRevisions = make(map[string]metastore.Revision)
 	out.UnreachableBy = make(map[string]int)
 	for _, dg := range digests {
@@ -107,8 +107,10 @@
 		for _, cr := range dg.Crashes {
 			crashes[cr.Fingerprint+cr.CrashID] = cr
 		}
-		for _, fp := range dg.Cleared {
-			cleared[fp] = true
+		for _, cl := range dg.Cleared {
+			if known, ok := cleared[cl.Fingerprint]; !ok || cl.AgeUs < known.AgeUs {
+				cleared[cl.Fingerprint] = cl
+			}
 		}
 		for id, count := range dg.UnreachableBy {
 			out.UnreachableBy[id] += count
@@ -132,8 +134,8 @@
 	// Only the newest crashes are kept. The hosts that observed the older ones report them again.
 	slices.SortFunc(out.Crashes, func(a, b CrashReport) int { return cmp.Compare(a.AgeUs, b.AgeUs) })
 	out.Crashes = out.Crashes[:min(len(out.Crashes), maxMergedCrashes)]
-	for fp := range cleared {
-		out.Cleared = append(out.Cleared, fp)
+	for _, cl := range cleared {
+		out.Cleared = append(out.Cleared, cl)
 	}
 	out.Statements = mergeStatements(digests)
 	mergePartState(&out, digests)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -53,6 +53,12 @@
 		RunStart, DetectedAt time.Time
 	}
 
+	// ClearedRequest states that an equal request was answered, or cleared by an operator, at a time.
+	ClearedRequest struct {
+		Fingerprint Fingerprint
+		At          time.Time
+	}
+
 	// Tracker holds the crash reports of the last hour. It is safe for concurrent use.
 	Tracker struct {
 		clk clock.Clock
@@ -61,7 +67,7 @@
 		suspects map[Fingerprint]*suspect
 	}
 
-	// suspect holds the crashes during which a request was running.
+	// suspect holds the crashes during which a request was running, and when this host cleared it last.
 	suspect struct {
 		crashes   []crash
 		clearedAt time.Time
@@ -155,9 +161,23 @@
 	}
 }
 
-// RecentChanges returns the crashes and the cleared requests of the last two seconds, at most 64 of each. If
+// MergeCleared records that another host has cleared a request. Crashes since then count.
+func (tr *Tracker) MergeCleared(cl ClearedRequest) {
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	su := tr.pruneSuspect(cl.Fingerprint, tr.clk.Now())
+	if su == nil {
+		return
+	}
+	for i := range su.crashes {
+		cr := &su.crashes[i]
+		cr.isCleared = cr.isCleared || !cr.DetectedAt.After(cl.At) || !cr.receivedAt.After(cl.At)
+	}
+}
+
+// RecentChanges returns the crashes and the requests that this host cleared in the last two seconds, at most 64 of each. If
 // there are more crashes, it returns the newest.
-func (tr *Tracker) RecentChanges() (crashes []Report, cleared []Fingerprint) {
+func (tr *Tracker) RecentChanges() (crashes []Report, cleared []ClearedRequest) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.clk.Now()
@@ -172,7 +192,7 @@
 			}
 		}
 		if !su.clearedAt.IsZero() && now.Sub(su.clearedAt) < recentChangePeriod {
-			cleared = append(cleared, fp)
+			cleared = append(cleared, ClearedRequest{Fingerprint: fp, At: su.clearedAt})
 		}
 	}
 	slices.SortFunc(crashes, func(a, b Report) int { return b.DetectedAt.Compare(a.DetectedAt) })
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -56,9 +56,9 @@
 	require.Equal(t, quarantine.Clear, tr.State(fingerprint))
 	crashes, cleared := tr.RecentChanges()
 	require.Empty(t, crashes)
-	require.Equal(t, []quarantine.Fingerprint{fingerprint}, cleared)
-	for _, fp := range cleared {
-		other.ClearSuspect(fp)
+	require.Equal(t, []quarantine.ClearedRequest{{Fingerprint: fingerprint, At: ck.Now()}}, cleared)
+	for _, cl := range cleared {
+		other.MergeCleared(cl)
 	}
 	require.Equal(t, quarantine.Clear, other.State(fingerprint))
 	tr.RecordReport(first)
@@ -106,8 +106,8 @@
 	for _, cr := range crashes {
 		to.RecordReport(cr)
 	}
-	for _, fp := range cleared {
-		to.ClearSuspect(fp)
+	for _, cl := range cleared {
+		to.MergeCleared(cl)
 	}
 }
 
