--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -149,9 +149,7 @@
 	now := no.ck.Now()
 	no.mergeStatements(dg.Statements, now)
 	for _, cr := range dg.Crashes {
-		if cr.Reporter == no.st.Name {
-			continue
-		}
+		// This host may have reported it itself, before it was restarted.
 		detectedAt := now.Add(-time.Duration(cr.AgeUs) * time.Microsecond)
 		no.quarantine.RecordReport(quarantine.Report{
 			Fingerprint: quarantine.Fingerprint(cr.Fingerprint), CrashID: cr.CrashID, Reporter: cr.Reporter,
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -21,12 +21,14 @@
 	// CrashLimit is the number of crashes after which a request is refused.
 	CrashLimit = 2
 
-	// crashRetention is how long a crash counts.
+	// crashRetention is how long a crash counts. It is counted from the crash, also by hosts that learn of it later.
 	crashRetention       = time.Hour
 	fingerprintHexDigits = 24
 	// recentChangePeriod is how long a change is sent to other hosts. It covers some ten digests, as digests may
 	// be lost.
 	recentChangePeriod = 2 * time.Second
+	// refusalReportInterval is how often the crashes of refused requests are sent again, for hosts that have started since.
+	refusalReportInterval = time.Second
 	// maxRecentChanges bounds the crashes, and the cleared requests, in one digest.
 	maxRecentChanges = 64
 	// maxDelaySkew bounds the difference in delay between the reports of two hosts. It is far above the
@@ -65,6 +67,8 @@
 
 		mu       sync.Mutex
 		suspects map[Fingerprint]*suspect
+		// refusalsReportedAt is when the crashes of refused requests were sent last.
+		refusalsReportedAt time.Time
 	}
 
 	// suspect holds the crashes during which a request was running, and when this host cleared it last.
@@ -175,19 +179,24 @@
 	}
 }
 
-// RecentChanges returns the crashes and the requests that this host cleared in the last two seconds, at most 64 of each. If
-// there are more crashes, it returns the newest.
+// RecentChanges returns the crashes and the requests that this host cleared in the last two seconds, and once a second the crashes of
+// refused requests, at most 64 of each. If there are more crashes, it returns the newest.
 func (tr *Tracker) RecentChanges() (crashes []Report, cleared []ClearedRequest) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	now := tr.clk.Now()
+	withRefusals := now.Sub(tr.refusalsReportedAt) >= refusalReportInterval
+	if withRefusals {
+		tr.refusalsReportedAt = now
+	}
 	for fp := range tr.suspects {
 		su := tr.pruneSuspect(fp, now)
 		if su == nil {
 			continue
 		}
+		isRefused := withRefusals && su.consecutiveCrashes() >= CrashLimit
 		for _, cr := range su.crashes {
-			if !cr.isCleared && now.Sub(cr.DetectedAt) < recentChangePeriod {
+			if !cr.isCleared && (isRefused || now.Sub(cr.DetectedAt) < recentChangePeriod) {
 				crashes = append(crashes, cr.Report)
 			}
 		}
@@ -212,7 +221,7 @@
 	if su == nil {
 		return nil
 	}
-	su.crashes = slices.DeleteFunc(su.crashes, func(cr crash) bool { return now.Sub(cr.receivedAt) > crashRetention })
+	su.crashes = slices.DeleteFunc(su.crashes, func(cr crash) bool { return now.Sub(cr.DetectedAt) > crashRetention })
 	if len(su.crashes) == 0 {
 		delete(tr.suspects, fp)
 		return nil
