--- a/internal/fleet/statement.go
+++ b/internal/fleet/statement.go
@@ -132,7 +132,7 @@
 	fl.mu.Lock()
 	now := fl.opts.Clock.Now()
 	ep := fl.endpoints[ps.Endpoint]
-	if ep == nil && ps.IsLeaving {
+	if de := fl.departed[ps.Endpoint]; ep == nil && ps.IsLeaving && de.startTimeMs <= ps.StartTimeMs {
 		// Its entry may come, or return, later.
 		fl.departed[ps.Endpoint] = departure{startTimeMs: ps.StartTimeMs, at: now, said: statements{isLeaving: true}}
 	}
--- a/internal/fleet/statement_test.go
+++ b/internal/fleet/statement_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// Guards against a statement about an earlier start that makes a host forget that a later one has left.
+func TestLeavingOfEarlierStartChangesNothing(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	later := newEntry("a")
+	later.StartTimeMs = 2
+	fl.Put(later)
+	fl.Remove("a")
+	fl.MergeStatement(fleet.PeerStatement{Endpoint: "a", StartTimeMs: 1, IsLeaving: true})
+	fl.ReplaceRestored([]fleet.Entry{later})
+	require.Empty(t, fl.Views("engines"), "the entry of the copy is that of an endpoint that has left")
+	fl.Put(later)
+	require.Len(t, fl.Views("engines"), 1)
+}
+
 // Guards against requests before the end of a wait, and against many at once after it.
 func TestWaitEndsWithOneRequest(t *testing.T) {
 	ck := clockwork.NewFakeClock()
