--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -46,6 +46,20 @@
 	return client, server
 }
 
+// gatewayOptions returns the options of a gateway of the only host, without retries.
+func gatewayOptions(ck clock.Clock, fl *fleet.Fleet) gateway.Options {
+	lg := logrus.New()
+	lg.SetOutput(io.Discard)
+	return gateway.Options{
+		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(ck),
+		Budget: retry.NewWindowBudget(ck, retry.Limits{Window: time.Second}), Quarantine: quarantine.NewTracker(ck),
+		Parts: quarantine.NewPartTracker(quarantine.PartOptions{Clock: ck, Host: "host"}), Log: lg, Meter: nopMeter{}, Zone: "here",
+		HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 },
+		IsVersionExpired: func(string, uint64) bool { return false },
+		WeightsTimeLeft:  func(string, uint64) (time.Duration, bool) { return 0, false },
+	}
+}
+
 // newGateway returns a gateway in front of one plain endpoint. Request bodies take at most bodyMemory
 // bytes; zero means no bound.
 func newGateway(t *testing.T, bodyMemory int64) (*gateway.Gateway, *site.Endpoint) {
@@ -62,14 +76,9 @@
 	ck := clock.System()
 	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
 	fl.Put(fleet.Entry{ID: "plain", Service: "desk", Address: address, Zone: "here", Slots: 8})
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
-	gw := gateway.New(gateway.Options{
-		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(ck),
-		Budget: retry.NewWindowBudget(ck, retry.Limits{Window: time.Second}), Quarantine: quarantine.NewTracker(ck), Parts: quarantine.NewPartTracker(quarantine.PartOptions{Clock: ck, Host: "host"}), BodyMemoryBytes: bodyMemory, Log: lg, Meter: nopMeter{}, Zone: "here",
-		HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 }, IsVersionExpired: func(string, uint64) bool { return false },
-		WeightsTimeLeft: func(string, uint64) (time.Duration, bool) { return 0, false },
-	})
+	opts := gatewayOptions(ck, fl)
+	opts.BodyMemoryBytes = bodyMemory
+	gw := gateway.New(opts)
 	gw.Configure(catalog.New(catalog.Spec{
 		Version: 1, Routes: []catalog.Route{
 			{Name: "pay", Host: "shop.example", Prefix: "/", MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "desk"}}},
--- a/internal/gateway/faulty_endpoint_test.go
+++ b/internal/gateway/faulty_endpoint_test.go
@@ -13,18 +13,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/bergamotway/bergamotway/internal/attempt"
-	"github.com/bergamotway/bergamotway/internal/cachedir"
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/gateway"
-	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/retry"
-	"github.com/bergamotway/bergamotway/platform"
 )
 
 // keptEndpoint writes to the n-th request that it reads, on any connection, the n-th of its answers, and the last one to all
@@ -93,16 +88,9 @@
 	for i, ke := range endpoints {
 		fl.Put(fleet.Entry{ID: fmt.Sprint("endpoint-", i), Service: "desk", Address: ke.listener.Addr().String(), Zone: "here", Slots: 8})
 	}
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
-	gw := gateway.New(gateway.Options{
-		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(ck),
-		Budget:     retry.NewWindowBudget(ck, retry.Limits{Window: time.Second, Slack: 1000}),
-		Quarantine: quarantine.NewTracker(ck), Parts: quarantine.NewPartTracker(quarantine.PartOptions{Clock: ck, Host: "host"}),
-		Log: lg, Meter: nopMeter{}, Zone: "here", HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 },
-		IsVersionExpired: func(string, uint64) bool { return false },
-		WeightsTimeLeft:  func(string, uint64) (time.Duration, bool) { return 0, false },
-	})
+	opts := gatewayOptions(ck, fl)
+	opts.Budget = retry.NewWindowBudget(ck, retry.Limits{Window: time.Second, Slack: 1000})
+	gw := gateway.New(opts)
 	routes := []catalog.Route{
 		{Name: "pay", MaxAttempts: 3},
 		{Name: "look", MaxAttempts: 3, Kind: catalog.Idempotent},
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,17 +12,13 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/bergamotway/bergamotway/internal/attempt"
-	"github.com/bergamotway/bergamotway/internal/cachedir"
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/gateway"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/retry"
-	"github.com/bergamotway/bergamotway/platform"
 )
 
 const deadlyPart = "dead"
@@ -84,15 +79,10 @@
 	fx := &partFixture{ck: clockwork.NewFakeClockAt(time.Now())}
 	fx.parts = quarantine.NewPartTracker(quarantine.PartOptions{Clock: fx.ck, Host: "host"})
 	fx.fl = fleet.New(fleet.Options{Clock: fx.ck, Host: "host"})
-	lg := logrus.New()
-	lg.SetOutput(io.Discard)
-	fx.gw = gateway.New(gateway.Options{
-		Clock: fx.ck, Codec: platform.Codec{}, Fleet: fx.fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(fx.ck),
-		Budget:     retry.NewWindowBudget(fx.ck, retry.Limits{Window: time.Second, Slack: 100}),
-		Quarantine: quarantine.NewTracker(fx.ck), Parts: fx.parts, Log: lg, Meter: nopMeter{}, Zone: "here",
-		HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 }, IsVersionExpired: func(string, uint64) bool { return false },
-		WeightsTimeLeft: func(string, uint64) (time.Duration, bool) { return 0, false },
-	})
+	opts := gatewayOptions(fx.ck, fx.fl)
+	opts.Budget = retry.NewWindowBudget(fx.ck, retry.Limits{Window: time.Second, Slack: 100})
+	opts.Parts = fx.parts
+	fx.gw = gateway.New(opts)
 	fx.gw.Configure(catalog.New(catalog.Spec{
 		Version: 1, Routes: []catalog.Route{{
 			Name: "note", Kind: catalog.Streaming, Resumable: true, Host: "shop.example", Prefix: "/", MaxAttempts: maxAttempts,
