--- a/internal/quarantine/admission.go
+++ b/internal/quarantine/admission.go
@@ -31,6 +31,9 @@
 		}
 	}
 	for _, id := range ru.trials {
+		if tr.suspects[id].verdict != nil {
+			ru.blockedTrials = append(ru.blockedTrials, id)
+		}
 		tr.beginTrial(tr.suspects[id], now)
 	}
 	return ru, nil
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -27,9 +27,9 @@
 			continue
 		}
 		su.verdict.removeCompanions(func(id string) bool { return slices.Contains(keys, id) })
-		if detectedAt.After(su.verdict.BlockedUntil()) {
+		if slices.Contains(ru.blockedTrials, part) || detectedAt.After(su.verdict.BlockedUntil()) {
 			su.verdict.Strikes = min(su.verdict.Strikes+1, maxStrikes)
-			su.verdict.LastCrash = detectedAt
+			su.verdict.LastCrash = later(su.verdict.LastCrash, detectedAt)
 			su.triedSlot = 0
 			tr.noteChange(PartBlocked, *su.verdict, now)
 		}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -49,6 +49,9 @@
 	// minTrialAge is the least age of the last crash for a trial before the end of a block. By then all hosts agree on
 	// the companions.
 	minTrialAge = time.Second
+	// maxEarlyTrialCrashes is the number of trials before the end of a block that may crash an endpoint. The companions that
+	// they leave are told apart when the block has ended.
+	maxEarlyTrialCrashes = 2
 	// maxCompanions bounds the companions of a verdict.
 	maxCompanions = 4
 	// maxVerdictSkew bounds the difference between the times at which two hosts place a crash.
@@ -200,7 +203,7 @@
 	if elapsed%trialSlot > trialSlot-trialPause {
 		return false
 	}
-	return !now.Before(ve.BlockedUntil()) || (!ve.holdsCompanions(parts) && elapsed >= minTrialAge)
+	return !now.Before(ve.BlockedUntil()) || (ve.Strikes <= maxEarlyTrialCrashes && !ve.holdsCompanions(parts) && elapsed >= minTrialAge)
 }
 
 // holdsCompanions reports whether a request has all parts that were present in all of the crashes.
--- a/internal/quarantine/run.go
+++ b/internal/quarantine/run.go
@@ -4,11 +4,12 @@
 
 // Run is an attempt to send a request to an endpoint. Its methods are not safe for concurrent use.
 type Run struct {
-	tr           *PartTracker
-	scope        string
-	parts        []string
-	trials       []string
-	hasSucceeded bool
+	tr    *PartTracker
+	scope string
+	parts []string
+	// trials holds the parts that the attempt tries, and blockedTrials those of them that were blocked when it began.
+	trials, blockedTrials []string
+	hasSucceeded          bool
 }
 
 // Succeeded records that the response has begun, so that no part of the prompt crashes endpoints.
@@ -34,5 +35,5 @@
 		return
 	}
 	ru.tr.endTrials(ru.trials)
-	ru.trials = nil
+	ru.trials, ru.blockedTrials = nil, nil
 }
