--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -28,6 +28,31 @@
 	return ln.Addr().String()
 }
 
+// respondOnce reads one request, writes the response and closes or resets the connection.
+func respondOnce(t *testing.T, response string, isReset bool) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		rq, err := http.ReadRequest(bufio.NewReader(nc))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, rq.Body)
+		_, _ = io.WriteString(nc, response)
+		if tcp, ok := nc.(*net.TCPConn); ok && isReset {
+			_ = tcp.SetLinger(0)
+		}
+	}()
+	return ln.Addr().String()
+}
+
 // countTokens runs a request and returns the number of tokens received and the error that ended the
 // stream.
 func countTokens(t *testing.T, address string) (int, error) {
@@ -91,26 +116,7 @@
 		"ends after a part of its field": {token + "data: ", false, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer func() { _ = ln.Close() }()
-			go func() {
-				nc, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = nc.Close() }()
-				rq, err := http.ReadRequest(bufio.NewReader(nc))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, rq.Body)
-				_, _ = io.WriteString(nc, header+tc.answer)
-				if tcp, ok := nc.(*net.TCPConn); ok && tc.isReset {
-					_ = tcp.SetLinger(0)
-				}
-			}()
-			_, err = countTokens(t, ln.Addr().String())
+			_, err := countTokens(t, respondOnce(t, header+tc.answer, tc.isReset))
 			if tc.isWhole {
 				require.ErrorIs(t, err, io.EOF)
 				return
@@ -120,3 +126,44 @@
 		})
 	}
 }
+
+// Guards against an empty answer made of a head that stops in the middle.
+func TestStreamHeadThatStopsIsBroken(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + engine.HeaderVersion + ": v1\r\n\r\n"
+	client := engine.NewClient(connection.NewDialer(connection.Options{}))
+	for n := range len(head) {
+		_, err := client.Open(context.Background(), respondOnce(t, head[:n], false), engine.Run{ID: "r", Version: "v1"})
+		var be *connection.BrokenError
+		require.ErrorAs(t, err, &be, "%q", head[:n])
+	}
+}
+
+// Guards against the text of an error in the middle of a stream that a second engine continues.
+func TestErrorTextIsNoPartOfAContinuedAnswer(t *testing.T) {
+	const version = engine.HeaderVersion + ": v1\r\n"
+	for name, response := range map[string]string{
+		"error":                   "HTTP/1.1 500 Internal Server Error\r\n" + version + "Content-Length: 5\r\n\r\noops\n",
+		"refusal":                 "HTTP/1.1 503 Service Unavailable\r\n" + version + "Content-Length: 5\r\n\r\nfull\n",
+		"error in a success":      "HTTP/1.1 200 OK\r\n" + version + "Content-Length: 6\r\n\r\noops\n\n",
+		"head in a success":       "HTTP/1.1 200 OK\r\n" + version + "\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\noops\n",
+		"text in an event":        "HTTP/1.1 200 OK\r\n" + version + "\r\ndata: oops\n\n",
+		"event without a run":     "HTTP/1.1 200 OK\r\n" + version + "\r\ndata: {\"seq\":3,\"choices\":[{\"delta\":{\"content\":\"oops\"}}]}\n\n",
+		"end without any event":   "HTTP/1.1 200 OK\r\n" + version + "\r\ndata: [DONE]\n\n",
+		"error and then the end":  "HTTP/1.1 200 OK\r\n" + version + "\r\noops\n\ndata: [DONE]\n\n",
+		"error in a JSON message": "HTTP/1.1 200 OK\r\n" + version + "\r\ndata: {\"id\":\"r\",\"error\":{\"message\":\"oops\"}}\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := engine.NewClient(connection.NewDialer(connection.Options{}))
+			st, err := client.Open(context.Background(), respondOnce(t, response, false), engine.Run{
+				ID: "r", Version: "v1", Resumed: "abc", ResumedTokens: 3,
+			})
+			if err != nil {
+				return
+			}
+			defer func() { _ = st.Close() }()
+			tok, err := st.Next()
+			require.Error(t, err, "%+v", tok)
+			require.NotErrorIs(t, err, io.EOF)
+		})
+	}
+}
