--- a/programs/load/soak/soak.go
+++ b/programs/load/soak/soak.go
@@ -94,6 +94,7 @@
 	}
 	defer tb.close()
 	ch := newChecker(tb)
+	tb.addFinding = ch.addFinding
 	workCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var wg sync.WaitGroup
--- a/programs/load/soak/testbed.go
+++ b/programs/load/soak/testbed.go
@@ -42,6 +42,11 @@
 		weightChanges        int
 		faultCounts          map[string]int
 		usedAddresses        map[string]bool
+		leavers              leavers
+		// backup is a copy of the store from which it may be restored; nil if there is none yet.
+		backup *site.Backup
+		// addFinding records a violation.
+		addFinding func(format string, args ...any)
 	}
 
 	// process is a host that runs as a process and is restarted whenever it exits.
@@ -145,8 +150,11 @@
 // injectFaults injects random faults for opts.injectionTime, and returns the number of each kind as text.
 func (tb *testbed) injectFaults(ctx context.Context, rd *rand.Rand) string {
 	deadline := time.Now().Add(tb.opts.injectionTime)
+	// A source of its own leaves the other faults of a seed as they were.
+	statements := rand.New(rand.NewSource(^tb.opts.seed))
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		tb.injectFault(rd)
+		tb.injectStatementFault(statements)
 		time.Sleep(minFaultInterval + time.Duration(rd.Int63n(int64(maxFaultInterval-minFaultInterval))))
 	}
 	var out []string
@@ -166,6 +174,7 @@
 	undoLater := func(undo func()) {
 		time.AfterFunc(duration, undo)
 	}
+	isLeaving := tb.leavers.contains(endpoints[idx])
 	faults := []struct {
 		name string
 		do   func()
@@ -205,6 +214,9 @@
 		}},
 	}
 	fa := faults[rd.Intn(len(faults))]
+	if isLeaving && slices.Contains([]string{"endpoint-proxy", "endpoint-reset", "flaw", "lapse"}, fa.name) {
+		return
+	}
 	tb.faultCounts[fa.name]++
 	fa.do()
 }
@@ -218,7 +230,7 @@
 
 // clearFaults waits until the last fault has ended, and restores the stand-ins, the proxies and the paused processes.
 func (tb *testbed) clearFaults() {
-	time.Sleep(maxFaultDuration)
+	time.Sleep(leavingSettleTime + maxFaultDuration)
 	tb.store.SetFault(site.NoStoreFault)
 	for _, pr := range tb.endpointProxies {
 		pr.setMode(modePass)
