--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -40,6 +41,8 @@
 	// loadingMarkTTL is how long an engine is marked as loading after the controller last confirmed it.
 	// Hosts send no requests to a marked engine.
 	loadingMarkTTL = time.Second
+	// unreachableRetryInterval is how long after a failed call an engine that has no order yet is passed over.
+	unreachableRetryInterval = 500 * time.Millisecond
 )
 
 type (
@@ -102,6 +105,8 @@
 		mu      sync.Mutex
 		targets map[string]uint64
 		jobs    map[string]*job
+		// unreachableUntil holds until when engines are passed over that could not be reached.
+		unreachableUntil map[string]time.Time
 	}
 
 	// job is the change of one engine's weights: the engine is drained, gets an order and then loads.
@@ -118,6 +123,8 @@
 		polledAt time.Time
 		// confirmed reports whether the engine has reported the version as loaded.
 		confirmed bool
+		// isUnreachable reports that the engine could not be reached before it was sent an order.
+		isUnreachable bool
 		// callInFlight reports whether advanceJob is running for the job.
 		callInFlight bool
 	}
@@ -148,7 +155,9 @@
 
 // New returns a controller without target versions.
 func New(opts Options) *Controller {
-	return &Controller{opts: opts, targets: make(map[string]uint64), jobs: make(map[string]*job)}
+	return &Controller{
+		opts: opts, targets: make(map[string]uint64), jobs: make(map[string]*job), unreachableUntil: make(map[string]time.Time),
+	}
 }
 
 // SetTarget sets the version that a model's engines should have. It never lowers the version.
@@ -224,11 +233,12 @@
 	for id, jb := range co.jobs {
 		vw, ok := viewByID[id]
 		isRefused := jb.orderedAt.IsZero() && vw.Waiting
-		if !ok || isRefused || vw.Draining || vw.Address != jb.address || vw.Models[jb.model] >= jb.version && jb.confirmed {
+		if !ok || isRefused || jb.isUnreachable || vw.Draining || vw.Address != jb.address || vw.Models[jb.model] >= jb.version && jb.confirmed {
 			delete(co.jobs, id)
 			co.opts.Fleet.MarkLoading(id, time.Time{})
 		}
 	}
+	maps.DeleteFunc(co.unreachableUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
 	maxParallel := max(1, engineCount/parallelDivisor)
 	// Engines with the oldest versions go first, because their weights expire first.
 	slices.SortStableFunc(views, func(a, b fleet.View) int { return cmp.Compare(oldestVersion(a), oldestVersion(b)) })
@@ -271,7 +281,7 @@
 // targetFor returns a model of which an engine has an older version than the target, and the target
 // version; ok reports whether there is one.
 func (co *Controller) targetFor(vw fleet.View) (model string, version uint64, ok bool) {
-	if vw.Draining || vw.Retained || vw.Waiting {
+	if _, isUnreachable := co.unreachableUntil[vw.ID]; isUnreachable || vw.Draining || vw.Retained || vw.Waiting {
 		return "", 0, false
 	}
 	for name, current := range vw.Models {
@@ -320,6 +330,7 @@
 	co.recordStatement(id, jb, rp.Statement, sentAt)
 	if err != nil {
 		co.opts.Log.WithFields(logrus.Fields{"endpoint": id, "cause": err.Error()}).Warn("Cannot get the engine's report.")
+		co.passOver(id, jb)
 		return
 	}
 	now := co.opts.Clock.Now()
@@ -360,6 +371,16 @@
 	co.opts.Log.WithFields(fields).Info("Engine was told to take weights.")
 }
 
+// passOver lets other engines go first after a failed call to one that has no order yet.
+func (co *Controller) passOver(id string, jb *job) {
+	co.mu.Lock()
+	defer co.mu.Unlock()
+	if jb.orderedAt.IsZero() {
+		jb.isUnreachable = true
+		co.unreachableUntil[id] = co.opts.Clock.Now().Add(unreachableRetryInterval)
+	}
+}
+
 // recordStatement records what an engine says of itself in the response to a call that was sent at sentAt.
 func (co *Controller) recordStatement(id string, jb *job, st fleet.Statement, sentAt time.Time) {
 	if co.opts.Fleet.RecordStatement(id, jb.startTimeMs, st, sentAt, false) {
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -34,12 +34,17 @@
 	// reports counts the calls of FetchReport by engine, and statements holds what engines say in the responses.
 	reports    map[string]int
 	statements map[string]fleet.Statement
+	// unreachable holds engines that answer no calls.
+	unreachable map[string]bool
 }
 
 func (en *fakeEngines) FetchReport(_ context.Context, _, id string) (upgrade.Report, error) {
 	en.mu.Lock()
 	defer en.mu.Unlock()
 	en.reports[id]++
+	if en.unreachable[id] {
+		return upgrade.Report{}, io.ErrUnexpectedEOF
+	}
 	return upgrade.Report{AcceptedOrders: en.acceptedOrders[id], Versions: map[string]uint64{"m": en.versions[id]}, Statement: en.statements[id]}, nil
 }
 
@@ -85,7 +90,10 @@
 func startWaitingController(
 	t *testing.T, versions map[string]uint64, mayOrder func() bool, untilActive func() (time.Duration, bool),
 ) (*upgrade.Controller, *fakeEngines, *fleet.Fleet) {
-	en := &fakeEngines{versions: versions, acceptedOrders: make(map[string]uint64), reports: make(map[string]int), statements: make(map[string]fleet.Statement)}
+	en := &fakeEngines{
+		versions: versions, acceptedOrders: make(map[string]uint64), reports: make(map[string]int),
+		statements: make(map[string]fleet.Statement), unreachable: make(map[string]bool),
+	}
 	fl := fleet.New(fleet.Options{Host: "host"})
 	for id, version := range versions {
 		fl.Put(fleet.Entry{ID: id, Service: "s", Address: id, Zone: "here", Slots: 8, Models: map[string]uint64{"m": version}})
@@ -176,6 +184,25 @@
 	}
 }
 
+// Guards against a rollout that stands still until the entry of a crashed engine is removed.
+func TestCrashedEngineDoesNotHoldUpTheRollout(t *testing.T) {
+	t.Parallel()
+	var mayOrder atomic.Bool
+	co, en, _ := startController(t, map[string]uint64{"engine-1": 1, "engine-2": 1, "engine-3": 1}, mayOrder.Load)
+	en.mu.Lock()
+	en.unreachable["engine-1"] = true
+	en.mu.Unlock()
+	mayOrder.Store(true)
+	co.SetTarget("m", 2)
+	require.Eventually(t, func() bool {
+		return slices.Equal(slices.Sorted(slices.Values(en.orders())), []string{"engine-2", "engine-3"})
+	}, waitTimeout, pollInterval)
+	en.mu.Lock()
+	en.unreachable["engine-1"] = false
+	en.mu.Unlock()
+	require.Eventually(t, func() bool { return en.allHaveVersion(2) }, waitTimeout, pollInterval, "it is back")
+}
+
 func TestNoOrderWithoutLeadership(t *testing.T) {
 	t.Parallel()
 	var mu sync.Mutex
