--- a/internal/fleet/bucket.go
+++ b/internal/fleet/bucket.go
@@ -49,23 +49,8 @@
 	if senders == hostCount {
 		return maxRate / float64(max(1, hostCount))
 	}
-	if !isAmongFirst(rendezvous.Hash(endpoint), host, hosts, senders) {
+	if !rendezvous.IsAmongFirst(rendezvous.Hash(endpoint), host, hosts, senders) {
 		return 0
 	}
 	return maxRate / float64(senders)
 }
-
-// isAmongFirst reports whether host is among the first count of the hosts by their score for an endpoint.
-func isAmongFirst(endpointHash uint64, host string, hosts []string, count int) bool {
-	if count >= len(hosts) {
-		return true
-	}
-	ownScore := rendezvous.Score(endpointHash, rendezvous.Hash(host))
-	higherRanked := 0
-	for _, other := range hosts {
-		if other != host && rendezvous.Score(endpointHash, rendezvous.Hash(other)) > ownScore {
-			higherRanked++
-		}
-	}
-	return higherRanked < count
-}
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -143,7 +143,7 @@
 	li := &ep.said.limit
 	if senders := min(len(fl.hosts), 1+int(min(li.perSecond, math.MaxInt32)/requestsPerSender)); senders != li.senderCount || li.hostsVersion != fl.hostsVersion {
 		li.senderCount, li.hostsVersion = senders, fl.hostsVersion
-		li.isSender = isAmongFirst(ep.hash, fl.opts.Host, fl.hosts, senders)
+		li.isSender = rendezvous.IsAmongFirst(ep.hash, fl.opts.Host, fl.hosts, senders)
 	}
 	if !li.isSender {
 		li.senderSince = time.Time{}
--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -49,6 +49,10 @@
 	// minTrialAge is the least age of the last crash for a trial before the end of a block. By then all hosts agree on
 	// the companions.
 	minTrialAge = time.Second
+	// trialHostsDoubling is the time since the last crash after which twice as many hosts may try a part before the end of its
+	// block. It is longer than the first token of a trial takes to be known to all hosts.
+	trialHostsDoubling     = time.Second
+	maxTrialHostsDoublings = 16
 	// maxEarlyTrialCrashes is the number of trials before the end of a block that may crash an endpoint. The companions that
 	// they leave are told apart when the block has ended.
 	maxEarlyTrialCrashes = 2
@@ -193,8 +197,17 @@
 		return slot, false
 	}
 	group := append(slices.Clone(ve.Companions), ve.Part)
-	owner, found := rendezvous.Owner(fmt.Sprintf("%s/%d/%d", slices.Min(group), ve.Strikes, slot), hosts)
-	return slot, !found || owner == host
+	key := rendezvous.Hash(fmt.Sprintf("%s/%d/%d", slices.Min(group), ve.Strikes, slot))
+	return slot, rendezvous.IsAmongFirst(key, host, hosts, ve.trialHosts(now))
+}
+
+// trialHosts returns how many hosts may try the part now. Before the end of a block there are more and more: in a large fleet
+// one host may get none of the few sound requests.
+func (ve Verdict) trialHosts(now time.Time) int {
+	if !now.Before(ve.BlockedUntil()) {
+		return 1
+	}
+	return 1 << min(now.Sub(ve.LastCrash)/trialHostsDoubling, maxTrialHostsDoublings)
 }
 
 // mayBeTried reports whether some host may try the part now with a request that has the given parts.
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -53,3 +53,18 @@
 	})
 	return out
 }
+
+// IsAmongFirst reports whether node is among the first count of the nodes by their score for a key.
+func IsAmongFirst(key uint64, node string, nodes []string, count int) bool {
+	if count >= len(nodes) {
+		return true
+	}
+	score := Score(key, Hash(node))
+	higherRanked := 0
+	for _, other := range nodes {
+		if other != node && Score(key, Hash(other)) > score {
+			higherRanked++
+		}
+	}
+	return higherRanked < count
+}
