--- a/internal/fleet/statement.go
+++ b/internal/fleet/statement.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 type (
 	// Statement is what an endpoint says of itself in the header of a response.
@@ -51,6 +55,13 @@
 		FromPeer bool
 	}
 
+	// StatementCount is the number of endpoints of a service of which a kind of statement holds now.
+	StatementCount struct {
+		Service   string
+		Kind      StatementKind
+		Endpoints int
+	}
+
 	// statements is what is known of an endpoint from what it says of itself.
 	statements struct {
 		limit requestLimit
@@ -199,6 +210,35 @@
 	return out
 }
 
+// StatementCounts returns, for each service with endpoints and each kind of statement, of how many endpoints it holds now.
+func (fl *Fleet) StatementCounts() []StatementCount {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	now := fl.opts.Clock.Now()
+	counts := make(map[string]*[3]int)
+	for _, ep := range fl.endpoints {
+		count := counts[ep.entry.Service]
+		if count == nil {
+			count = &[3]int{}
+			counts[ep.entry.Service] = count
+		}
+		for kind, holds := range [...]bool{
+			LimitStatement: fl.hasLimit(ep, now), LeavingStatement: ep.said.isLeaving, WaitStatement: ep.said.wait.isHeld(now),
+		} {
+			if holds {
+				count[kind]++
+			}
+		}
+	}
+	var out []StatementCount
+	for _, service := range slices.Sorted(maps.Keys(counts)) {
+		for kind, endpoints := range counts[service] {
+			out = append(out, StatementCount{Service: service, Kind: StatementKind(kind), Endpoints: endpoints})
+		}
+	}
+	return out
+}
+
 // UntilAvailable returns the shortest time until this host may send a request to an endpoint of a service; ok is false
 // unless all its endpoints that get requests name a limit or want none now.
 func (fl *Fleet) UntilAvailable(service string) (d time.Duration, ok bool) {
--- a/internal/fleet/statement_test.go
+++ b/internal/fleet/statement_test.go
@@ -143,3 +143,27 @@
 	ck.Advance(3 * time.Second)
 	require.False(t, fl.Views("engines")[0].Avoided)
 }
+
+func TestStatementCountsFollowWhatHolds(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	for _, id := range []string{"a", "b", "c"} {
+		fl.Put(newEntry(id))
+	}
+	counts := func() []int {
+		var out []int
+		for _, sc := range fl.StatementCounts() {
+			require.Equal(t, "engines", sc.Service)
+			out = append(out, sc.Endpoints)
+		}
+		return out
+	}
+	require.Equal(t, []int{0, 0, 0}, counts())
+	recordLimit(fl, "a", 1, 3)
+	fl.RecordStatement("b", 1, fleet.Statement{IsLeaving: true}, ck.Now(), true)
+	fl.RecordStatement("c", 1, fleet.Statement{Wait: time.Second}, ck.Now(), false)
+	require.Equal(t, []int{1, 1, 1}, counts())
+	ck.Advance(time.Second)
+	recordNoLimit(fl, "a", 1, ck.Now())
+	require.Equal(t, []int{0, 1, 0}, counts())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -189,6 +189,9 @@
 		TargetVersion: no.storeState.targets.Target, IsVersionExpired: no.storeState.targets.IsExpired,
 		WeightsTimeLeft: no.weightsTimeLeft,
 	})
+	if err := deps.Meter.ObserveEndpoints(no.countStatements); err != nil {
+		return nil, err
+	}
 	if err := no.listen(); err != nil {
 		return nil, err
 	}
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -7,6 +7,7 @@
 
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/peering"
+	"github.com/bergamotway/bergamotway/internal/telemetry"
 )
 
 // noteStatement counts and logs a change of what an endpoint says of itself.
@@ -35,6 +36,15 @@
 	no.log.WithFields(fields).Info(message)
 }
 
+// countStatements returns how many endpoints of each service say something of themselves.
+func (no *Node) countStatements() []telemetry.EndpointCount {
+	var out []telemetry.EndpointCount
+	for _, sc := range no.fleet.StatementCounts() {
+		out = append(out, telemetry.EndpointCount{Service: sc.Service, Statement: sc.Kind.String(), Endpoints: sc.Endpoints})
+	}
+	return out
+}
+
 // endpointStatements returns what endpoints have said to this host, as of now.
 func (no *Node) endpointStatements(now time.Time) []peering.EndpointStatement {
 	var out []peering.EndpointStatement
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -36,9 +36,16 @@
 	Recomputed TokenSource = "recomputed"
 )
 
+// EndpointCount is the number of endpoints of a service that say something of themselves: statement is its kind.
+type EndpointCount struct {
+	Service, Statement string
+	Endpoints          int
+}
+
 // Meter holds the metrics of a host. It is safe for concurrent use.
 type Meter struct {
 	handler            http.Handler
+	om                 metric.Meter
 	refusals           metric.Int64Counter
 	retries            metric.Int64Counter
 	dispatches         metric.Int64Counter
@@ -74,7 +81,7 @@
 		return nil, errors.Wrap(err, "telemetry: create exporter")
 	}
 	om := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("bergamotway")
-	me := &Meter{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{})}
+	me := &Meter{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), om: om}
 	counters := []struct {
 		target      *metric.Int64Counter
 		name        string
@@ -184,6 +191,19 @@
 	me.endpointStatements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("statement", kind), attribute.String("change", change)))
 }
 
+// ObserveEndpoints adds a gauge of the endpoints that count returns at each scrape.
+func (me *Meter) ObserveEndpoints(count func() []EndpointCount) error {
+	_, err := me.om.Int64ObservableGauge("bergamotway.endpoints",
+		metric.WithDescription("Endpoints that say something of themselves by service and statement."),
+		metric.WithInt64Callback(func(_ context.Context, ob metric.Int64Observer) error {
+			for _, ec := range count() {
+				ob.Observe(int64(ec.Endpoints), metric.WithAttributes(attribute.String("service", ec.Service), attribute.String("statement", ec.Statement)))
+			}
+			return nil
+		}))
+	return errors.Wrap(err, "telemetry: create gauge of endpoints")
+}
+
 // AddLinkBytes adds bytes transferred over a store host's link; direction is "import" or "export".
 func (me *Meter) AddLinkBytes(direction string, bytes int64) {
 	me.linkBytes.Add(context.Background(), bytes, metric.WithAttributes(attribute.String("direction", direction)))
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -1,6 +1,7 @@
 package telemetry_test
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -42,3 +43,17 @@
 	require.Zero(t, reads)
 	require.EqualValues(t, 1, writes)
 }
+
+func TestScrapePageHasEndpointsThatSaySomething(t *testing.T) {
+	me, err := telemetry.New()
+	require.NoError(t, err)
+	endpoints := 2
+	require.NoError(t, me.ObserveEndpoints(func() []telemetry.EndpointCount {
+		return []telemetry.EndpointCount{{Service: "desk", Statement: "limit", Endpoints: endpoints}}
+	}))
+	for endpoints = range 3 {
+		rec := httptest.NewRecorder()
+		me.Handler().ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		require.Regexp(t, fmt.Sprintf(`bergamotway_endpoints\{.*service="desk",statement="limit"\} %d`, endpoints), rec.Body.String())
+	}
+}
