--- a/internal/engine/stream_test.go
+++ b/internal/engine/stream_test.go
@@ -1,11 +1,9 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -16,6 +14,7 @@
 	"github.com/bergamotway/bergamotway/internal/engine"
 	"github.com/bergamotway/bergamotway/internal/standin/fault"
 	"github.com/bergamotway/bergamotway/internal/standin/modelengine"
+	"github.com/bergamotway/bergamotway/internal/standin/raw"
 )
 
 func serve(t *testing.T, h fasthttp.RequestHandler) string {
@@ -28,29 +27,14 @@
 	return ln.Addr().String()
 }
 
-// respondOnce reads one request, writes the response and closes or resets the connection.
+// respondOnce starts an engine that sends response to one request and closes the connection, with a reset if
+// isReset is set.
 func respondOnce(t *testing.T, response string, isReset bool) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	address, stop, err := raw.RespondOnce(response, isReset)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		nc, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = nc.Close() }()
-		rq, err := http.ReadRequest(bufio.NewReader(nc))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, rq.Body)
-		_, _ = io.WriteString(nc, response)
-		if tcp, ok := nc.(*net.TCPConn); ok && isReset {
-			_ = tcp.SetLinger(0)
-		}
-	}()
-	return ln.Addr().String()
+	t.Cleanup(func() { _ = stop() })
+	return address
 }
 
 // countTokens runs a request and returns the number of tokens received and the error that ended the
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -1,10 +1,7 @@
 package service_test
 
 import (
-	"bufio"
 	"context"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -12,31 +9,17 @@
 
 	"github.com/bergamotway/bergamotway/internal/connection"
 	"github.com/bergamotway/bergamotway/internal/service"
+	"github.com/bergamotway/bergamotway/internal/standin/raw"
 )
 
 // respondOnce starts a service that sends response to one request and closes the connection, with a reset if
 // isReset is set.
-func respondOnce(t *testing.T, response string, isReset bool) (address string) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+func respondOnce(t *testing.T, response string, isReset bool) string {
+	t.Helper()
+	address, stop, err := raw.RespondOnce(response, isReset)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		nc, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = nc.Close() }()
-		rq, err := http.ReadRequest(bufio.NewReader(nc))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, rq.Body)
-		_, _ = io.WriteString(nc, response)
-		if tcp, ok := nc.(*net.TCPConn); ok && isReset {
-			_ = tcp.SetLinger(0)
-		}
-	}()
-	return ln.Addr().String()
+	t.Cleanup(func() { _ = stop() })
+	return address
 }
 
 func TestPartialResponseIsBroken(t *testing.T) {
