--- a/internal/upgrade/upgrade.go
+++ b/internal/upgrade/upgrade.go
@@ -41,8 +41,11 @@
 	// loadingMarkTTL is how long an engine is marked as loading after the controller last confirmed it.
 	// Hosts send no requests to a marked engine.
 	loadingMarkTTL = time.Second
-	// unreachableRetryInterval is how long after a failed call an engine that has no order yet is passed over.
-	unreachableRetryInterval = 500 * time.Millisecond
+	// unreachableHoldTime is for how long an engine that cannot be reached counts as one that loads, so that not even more are
+	// out of use. The entry of a crashed one is removed by then. After that others go first, and it is tried again every
+	// unreachableRetryInterval.
+	unreachableHoldTime      = 4 * time.Second
+	unreachableRetryInterval = time.Second
 )
 
 type (
@@ -105,8 +108,13 @@
 		mu      sync.Mutex
 		targets map[string]uint64
 		jobs    map[string]*job
-		// unreachableUntil holds until when engines are passed over that could not be reached.
-		unreachableUntil map[string]time.Time
+		// unreachable holds the engines without an order that could not be reached.
+		unreachable map[string]unreachability
+	}
+
+	// unreachability is since when an engine could not be reached, and until when others go first.
+	unreachability struct {
+		since, passedOverUntil time.Time
 	}
 
 	// job is the change of one engine's weights: the engine is drained, gets an order and then loads.
@@ -123,8 +131,8 @@
 		polledAt time.Time
 		// confirmed reports whether the engine has reported the version as loaded.
 		confirmed bool
-		// isUnreachable reports that the engine could not be reached before it was sent an order.
-		isUnreachable bool
+		// isPassedOver reports that others go first, as the engine could not be reached.
+		isPassedOver bool
 		// callInFlight reports whether advanceJob is running for the job.
 		callInFlight bool
 	}
@@ -156,7 +164,7 @@
 // New returns a controller without target versions.
 func New(opts Options) *Controller {
 	return &Controller{
-		opts: opts, targets: make(map[string]uint64), jobs: make(map[string]*job), unreachableUntil: make(map[string]time.Time),
+		opts: opts, targets: make(map[string]uint64), jobs: make(map[string]*job), unreachable: make(map[string]unreachability),
 	}
 }
 
@@ -233,18 +241,21 @@
 	for id, jb := range co.jobs {
 		vw, ok := viewByID[id]
 		isRefused := jb.orderedAt.IsZero() && vw.Waiting
-		if !ok || isRefused || jb.isUnreachable || vw.Draining || vw.Address != jb.address || vw.Models[jb.model] >= jb.version && jb.confirmed {
+		if !ok || isRefused || jb.isPassedOver || vw.Draining || vw.Address != jb.address || vw.Models[jb.model] >= jb.version && jb.confirmed {
 			delete(co.jobs, id)
 			co.opts.Fleet.MarkLoading(id, time.Time{})
 		}
 	}
-	maps.DeleteFunc(co.unreachableUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(co.unreachable, func(id string, _ unreachability) bool {
+		_, ok := viewByID[id]
+		return !ok
+	})
 	maxParallel := max(1, engineCount/parallelDivisor)
 	// Engines with the oldest versions go first, because their weights expire first.
 	slices.SortStableFunc(views, func(a, b fleet.View) int { return cmp.Compare(oldestVersion(a), oldestVersion(b)) })
 	for _, vw := range views {
 		model, version, ok := co.targetFor(vw)
-		if !ok || co.jobs[vw.ID] != nil || !co.canStart(now, maxParallel) {
+		if !ok || now.Before(co.unreachable[vw.ID].passedOverUntil) || co.jobs[vw.ID] != nil || !co.canStart(now, maxParallel) {
 			continue
 		}
 		co.jobs[vw.ID] = &job{address: vw.Address, model: model, version: version, startedAt: now, startTimeMs: vw.StartTimeMs}
@@ -281,7 +292,7 @@
 // targetFor returns a model of which an engine has an older version than the target, and the target
 // version; ok reports whether there is one.
 func (co *Controller) targetFor(vw fleet.View) (model string, version uint64, ok bool) {
-	if _, isUnreachable := co.unreachableUntil[vw.ID]; isUnreachable || vw.Draining || vw.Retained || vw.Waiting {
+	if vw.Draining || vw.Retained || vw.Waiting {
 		return "", 0, false
 	}
 	for name, current := range vw.Models {
@@ -330,11 +341,12 @@
 	co.recordStatement(id, jb, rp.Statement, sentAt)
 	if err != nil {
 		co.opts.Log.WithFields(logrus.Fields{"endpoint": id, "cause": err.Error()}).Warn("Cannot get the engine's report.")
-		co.passOver(id, jb)
+		co.noteUnreachable(id, jb)
 		return
 	}
 	now := co.opts.Clock.Now()
 	co.mu.Lock()
+	delete(co.unreachable, id)
 	due := jb.orderedAt.IsZero() || now.Sub(jb.orderedAt) >= orderRetryInterval
 	version := max(jb.version, co.targets[jb.model])
 	jb.version = version
@@ -371,14 +383,22 @@
 	co.opts.Log.WithFields(fields).Info("Engine was told to take weights.")
 }
 
-// passOver lets other engines go first after a failed call to one that has no order yet.
-func (co *Controller) passOver(id string, jb *job) {
+// noteUnreachable records a failed call to an engine. Other engines go first if it has no order and could not be reached for long.
+func (co *Controller) noteUnreachable(id string, jb *job) {
 	co.mu.Lock()
 	defer co.mu.Unlock()
-	if jb.orderedAt.IsZero() {
-		jb.isUnreachable = true
-		co.unreachableUntil[id] = co.opts.Clock.Now().Add(unreachableRetryInterval)
+	if !jb.orderedAt.IsZero() {
+		return
+	}
+	now := co.opts.Clock.Now()
+	un := co.unreachable[id]
+	if un.since.IsZero() {
+		un.since = now
+	}
+	if now.Sub(un.since) >= unreachableHoldTime {
+		jb.isPassedOver, un.passedOverUntil = true, now.Add(unreachableRetryInterval)
 	}
+	co.unreachable[id] = un
 }
 
 // recordStatement records what an engine says of itself in the response to a call that was sent at sentAt.
--- a/internal/upgrade/upgrade_test.go
+++ b/internal/upgrade/upgrade_test.go
@@ -184,8 +184,8 @@
 	}
 }
 
-// Guards against a rollout that stands still until the entry of a crashed engine is removed.
-func TestCrashedEngineDoesNotHoldUpTheRollout(t *testing.T) {
+// Guards against a rollout that stands still as long as an engine is listed that cannot be reached.
+func TestUnreachableEngineDoesNotHoldUpTheRollout(t *testing.T) {
 	t.Parallel()
 	var mayOrder atomic.Bool
 	co, en, _ := startController(t, map[string]uint64{"engine-1": 1, "engine-2": 1, "engine-3": 1}, mayOrder.Load)
