--- a/internal/quarantine/part.go
+++ b/internal/quarantine/part.go
@@ -197,6 +197,9 @@
 		return slot, false
 	}
 	group := append(slices.Clone(ve.Companions), ve.Part)
+	if len(hosts) > 0 && !slices.Contains(hosts, host) {
+		return slot, false
+	}
 	key := rendezvous.Hash(fmt.Sprintf("%s/%d/%d", slices.Min(group), ve.Strikes, slot))
 	return slot, rendezvous.IsAmongFirst(key, host, hosts, ve.trialHosts(now))
 }
--- a/internal/quarantine/parttracker_test.go
+++ b/internal/quarantine/parttracker_test.go
@@ -324,3 +324,17 @@
 	}
 	require.LessOrEqual(t, sent, 3)
 }
+
+// Guards against a host that is not registered, and tries a blocked part beside the one whose turn it is.
+func TestUnregisteredHostTriesNoBlockedPart(t *testing.T) {
+	ck := clockwork.NewFakeClock()
+	hosts := []string{"other"}
+	tr := quarantine.NewPartTracker(quarantine.PartOptions{Clock: ck, Host: "host", Hosts: func() []string { return hosts }})
+	tr.Merge(quarantine.Verdict{Part: "deadly", Crashes: 5, Strikes: 1, LastCrash: ck.Now(), Reporters: []string{"other"}})
+	ck.Advance(31 * time.Second)
+	_, err := tr.Admit(service, []string{"deadly"})
+	require.Error(t, err)
+	hosts = []string{"host"}
+	_, err = tr.Admit(service, []string{"deadly"})
+	require.NoError(t, err)
+}
--- a/programs/load/soak/statement.go
+++ b/programs/load/soak/statement.go
@@ -29,7 +29,7 @@
 	endpoints map[*site.Endpoint]bool
 }
 
-// tryAdd adds an endpoint unless another one of the service leaves already.
+// tryAdd adds an endpoint, unless there is one already, and reports whether it has.
 func (le *leavers) tryAdd(ep *site.Endpoint) bool {
 	le.mu.Lock()
 	defer le.mu.Unlock()
