--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 LINT_VERSION := v2.15.0
 LINT := $(BIN)/golangci-lint-$(LINT_VERSION)
 SEED ?= 1
-export GOFLAGS := -buildvcs=false
+# Without fused multiply-add, figures are the same on all machines.
+export GOFLAGS := -buildvcs=false -gcflags=all=-d=fmahash=qn
 
 .PHONY: all format build demo demo-platform soak test test-all lint bench bench-path bench-routing bench-control clean
 
