--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -57,6 +58,9 @@
 		// Service and Zone are written to the endpoint's entry in the metadata store.
 		Service string
 		Zone    string
+		// SoftwareVersion is the version of the endpoint's software in its entry; empty means v1. If it is set, the data
+		// of its events names it.
+		SoftwareVersion string
 		// Model makes the endpoint an engine that serves this model, initially at weight version 1.
 		Model string
 		// EventCount is the number of events in a streamed response; zero disables streaming.
@@ -222,7 +226,7 @@
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
 	value = map[string]any{
-		"service": ep.opts.Service, "address": ep.publicAddress(), "zone": ep.opts.Zone, "version": "v1", "slots": 8,
+		"service": ep.opts.Service, "address": ep.publicAddress(), "zone": ep.opts.Zone, "version": ep.softwareVersion(), "slots": 8,
 		"state": state, "coldRemainingMs": 0, "born": ep.startTimeMs, "seq": 0,
 	}
 	if ep.opts.Model != "" {
@@ -232,6 +236,8 @@
 	return "servers/" + ep.id, value
 }
 
+func (ep *Endpoint) softwareVersion() string { return cmp.Or(ep.opts.SoftwareVersion, "v1") }
+
 func (ep *Endpoint) publicAddress() string {
 	address := ep.listener.Addr().String()
 	if ep.opts.PublicAddress == nil {
@@ -436,7 +442,7 @@
 			}
 			panic(http.ErrAbortHandler)
 		}
-		if _, err := io.WriteString(w, wholeEvent(rq, i)); err != nil {
+		if _, err := io.WriteString(w, ep.wholeEvent(rq, i)); err != nil {
 			ep.countAbandoned()
 			return
 		}
@@ -461,8 +467,12 @@
 	return lastEventID + 1
 }
 
-func wholeEvent(rq *http.Request, i int) string {
-	return fmt.Sprintf("id: %d\ndata: %s event %d\n\n", i, rq.Header.Get("X-Request-Id"), i)
+func (ep *Endpoint) wholeEvent(rq *http.Request, i int) string {
+	data := fmt.Sprintf("%s event %d", rq.Header.Get("X-Request-Id"), i)
+	if ep.opts.SoftwareVersion != "" {
+		data += " of " + ep.opts.SoftwareVersion
+	}
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
 }
 
 func partialEvent(i int) string { return fmt.Sprintf("id: %d\ndata: ha", i) }
@@ -485,7 +495,7 @@
 			}
 			break
 		}
-		body += wholeEvent(rq, i)
+		body += ep.wholeEvent(rq, i)
 	}
 	return body
 }
