--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -26,6 +26,8 @@
 		ColdFor time.Duration
 		// StartTimeMs is the start time of the endpoint in Unix milliseconds; zero if it is not reported.
 		StartTimeMs int64
+		// SoftwareVersion is the version of the endpoint's software, not of its weights; empty if it is not reported.
+		SoftwareVersion string
 		// Models maps the names of the models that it serves to the versions of their weights.
 		Models map[string]uint64
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -237,6 +237,9 @@
 	if rq.team != nil {
 		fields["team"] = rq.team.Name
 	}
+	if rq.LastEventID != "" {
+		fields["after-event"], fields["resumes"] = rq.LastEventID, rq.Resumes
+	}
 	if cause != nil {
 		fields["cause"] = cause.Error()
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -73,7 +73,7 @@
 func (pl plan) logFields() logrus.Fields {
 	sum := pl.view.TotalLoad()
 	return logrus.Fields{
-		"endpoint": pl.view.ID, "estimate-ms": milliseconds(pl.expectedTTFT), "options": pl.candidates,
+		"endpoint": pl.view.ID, "software": pl.view.SoftwareVersion, "estimate-ms": milliseconds(pl.expectedTTFT), "options": pl.candidates,
 		"running": sum.Requests, "tokens": sum.Tokens, "unread": sum.PrefillTokens,
 		"read": pl.prefillTokens, "fetch-ms": milliseconds(pl.fetchTime), "first-ms": milliseconds(pl.ttft), "sources": pl.sources,
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,6 +45,9 @@
 
 		// LastEventID is the ID of the last event that the client received; empty if none.
 		LastEventID string
+		// Resumes is the ID of the request that brought the first event of the stream that this request resumes; empty if the
+		// client names none.
+		Resumes string
 
 		route    *catalog.Route
 		service  *catalog.Service
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -251,6 +251,7 @@
 	if ss.fleet.Put(en) {
 		fields["service"], fields["draining"], fields["cold-ms"] = en.Service, en.Draining, en.ColdFor.Milliseconds()
 		fields["born"], fields["models"] = en.StartTimeMs, en.Models
+		fields["software"] = en.SoftwareVersion
 		ss.log.WithFields(fields).Info("Endpoint changed.")
 	}
 }
