--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -134,6 +134,17 @@
 	return count
 }
 
+// awaitHosts waits until hosts named host-0 and so on are registered.
+func (env *testEnv) awaitHosts(count int) {
+	require.Eventually(env.t, func() bool { return env.registeredHosts() == count }, waitTimeout, pollInterval)
+}
+
+// remove removes the entry of an endpoint.
+func (env *testEnv) remove(ep *site.Endpoint) {
+	name, _ := ep.Entry("ready")
+	env.store.Remove(name)
+}
+
 // startReadyHost starts a host and waits until it is ready, and so knows all endpoints.
 func (env *testEnv) startReadyHost(name string) *node.Node {
 	no, _ := env.startHost(name)
