gateway, origin, release: let streams go on only at the software version that began them

Cause: nothing in the tree knew the software version of an endpoint. A host resumed a broken stream at any endpoint with the same weights, and sent a client's take-up to any endpoint at all; Resumes was read nowhere.

Change: what began a stream is one value (origin.Origin: service and software version). A stream with a first event goes on only at an endpoint with that version, which is checked in the choice of endpoints and again right before the request is sent; an unknown version matches none. A host tells three other hosts, chosen by a hash of the stream, which version began it, before it forwards the first event, while more than one version is in service; any host asks them when a client takes the stream up. Which versions have been in service within the last minute is kept in the metadata store, so that a host that has just started does not take the endpoints that serve now for those that served when the stream began. A take-up of unknown origin is refused at once as not run, unless there has been only one version.

Not by this alone: streams from before a kill of all hosts, while several versions were in service, cannot go on.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -192,6 +192,20 @@
 	return ep != nil && !ep.entry.Draining && ep.entry.Address == address && ep.entry.StartTimeMs == startTimeMs
 }
 
+// SoftwareVersions returns the software versions of the endpoints of each service, in no particular order. Endpoints that are
+// draining count as well.
+func (fl *Fleet) SoftwareVersions() map[string][]string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	out := make(map[string][]string)
+	for _, ep := range fl.endpoints {
+		if versions := out[ep.entry.Service]; !slices.Contains(versions, ep.entry.SoftwareVersion) {
+			out[ep.entry.Service] = append(versions, ep.entry.SoftwareVersion)
+		}
+	}
+	return out
+}
+
 // Views returns the endpoints of a service that may get requests, sorted by identifier: those that are not
 // draining, expired or in an evacuated zone.
 func (fl *Fleet) Views(service string) []View {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -220,3 +220,34 @@
 	ck.Advance(5 * time.Second)
 	require.Equal(t, []string{"left", "lives"}, ids(fl.Views("engines")), "it has not")
 }
+
+// Guards against a request that goes on at another start or software version of an endpoint than the one it was planned for.
+func TestRequestInFlightKnowsRestartOfItsEndpoint(t *testing.T) {
+	t.Parallel()
+	fl := fleet.New(fleet.Options{Host: "host"})
+	en := fleet.Entry{ID: "a", Service: "engines", Address: "10.0.0.1:1", Zone: "here", StartTimeMs: 1, SoftwareVersion: "v1"}
+	fl.Put(en)
+	fi := fl.Begin("a", fleet.Load{Requests: 1}, 0)
+	require.True(t, fi.IsAt(1, "v1"))
+	require.False(t, fi.IsAt(1, "v2"))
+	en.StartTimeMs, en.SoftwareVersion = 2, "v2"
+	fl.Put(en)
+	require.False(t, fi.IsAt(1, "v1"))
+	fl.Remove("a")
+	require.True(t, fi.IsAt(1, "v1"), "an endpoint that is gone may still serve the request")
+}
+
+func TestSampleOfOneSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	fl := fleet.New(fleet.Options{Host: "host"})
+	for i := range 20 {
+		fl.Put(fleet.Entry{ID: fmt.Sprint("old-", i), Service: "engines", Address: "10.0.0.1:1", Zone: "here", SoftwareVersion: "v1"})
+	}
+	fl.Put(fleet.Entry{ID: "new", Service: "engines", Address: "10.0.0.1:2", Zone: "here", SoftwareVersion: "v2"})
+	sample := fl.SampleSoftware("engines", "v2", "", "key", 4)
+	require.Len(t, sample, 1)
+	require.Equal(t, "new", sample[0].ID)
+	require.Len(t, fl.SampleSoftware("engines", "v1", "", "key", 4), 4)
+	require.Empty(t, fl.SampleSoftware("engines", "", "", "key", 4))
+	require.ElementsMatch(t, []string{"v1", "v2"}, fl.SoftwareVersions()["engines"])
+}
--- a/internal/fleet/in_flight.go
+++ b/internal/fleet/in_flight.go
@@ -28,6 +28,18 @@
 	return &InFlight{fl: fl, ep: ep, load: load, isFirst: ep.said.wait.begin()}
 }
 
+// IsAt reports whether the request is at the given start of the endpoint, with the given software version, as far as the host
+// knows now.
+func (fi *InFlight) IsAt(startTimeMs int64, software string) bool {
+	fi.fl.mu.Lock()
+	defer fi.fl.mu.Unlock()
+	en := fi.ep.entry
+	if current := fi.fl.endpoints[en.ID]; current != nil {
+		en = current.entry
+	}
+	return en.StartTimeMs == startTimeMs && en.SoftwareVersion == software
+}
+
 // MarkPrefilled records that the endpoint has finished the prefill of the request.
 func (fi *InFlight) MarkPrefilled() {
 	fi.fl.mu.Lock()
--- a/internal/fleet/sample.go
+++ b/internal/fleet/sample.go
@@ -31,6 +31,15 @@
 // load new weights are left out unless there are hardly any others, and those of whose limit this host has used up its
 // share, or that want none now, always. One that names a limit and takes a request from this host comes on top of the limit of the sample.
 func (fl *Fleet) Sample(service, zone, key string, limit int) []View {
+	return fl.sample(zone, key, limit, func(en *Entry) bool { return en.Service == service })
+}
+
+// SampleSoftware is Sample among the endpoints with a software version.
+func (fl *Fleet) SampleSoftware(service, software, zone, key string, limit int) []View {
+	return fl.sample(zone, key, limit, func(en *Entry) bool { return en.Service == service && en.SoftwareVersion == software })
+}
+
+func (fl *Fleet) sample(zone, key string, limit int, includes func(*Entry) bool) []View {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
@@ -40,7 +49,7 @@
 			fl.delete(id, ep, now)
 			continue
 		}
-		if ep.entry.Service != service || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
+		if !includes(&ep.entry) || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
 			continue
 		}
 		if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -11,6 +11,7 @@
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/origin"
 	"github.com/bergamotway/bergamotway/internal/placement"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 )
@@ -56,6 +57,8 @@
 		tried []string
 		// pinnedVersion is the weight version with which a stream must continue; zero means any.
 		pinnedVersion uint64
+		// begun is what began the stream; nil before its first event. The stream goes on only at the same software version.
+		begun *origin.Origin
 		// headerWritten is set once the response header has been written to the client.
 		headerWritten bool
 		// resetOnAbort is set if the client uses HTTP/1.0, which has no chunks: there the end of the
@@ -96,6 +99,10 @@
 	gw.opts.Budget.RecordRequest(rq.service.Name)
 	ctx, cancel := context.WithDeadline(clientCtx, rq.deadline)
 	defer cancel()
+	if rq.isTakeUp() && !fw.findOrigin(ctx) {
+		fw.refuseTakeUp()
+		return
+	}
 	var lastErr error
 	for {
 		remaining := rq.deadline.Sub(gw.opts.Clock.Now())
@@ -139,7 +146,7 @@
 		fw.refuseUnplaced(remaining, lastErr)
 		return stepDone, nil
 	}
-	if !fw.headerWritten && rq.Model != "" && placement.IsOverdue(pl.expectedTTFT, rq.route.TargetLatency-gw.opts.Clock.Now().Sub(rq.arrived), remaining) {
+	if !fw.headerWritten && rq.Model != "" && placement.IsOverdue(pl.expectedTTFT, fw.targetLeft(), remaining) {
 		fw.refuseOverdue(pl, remaining, lastErr)
 		return stepDone, nil
 	}
@@ -163,6 +170,14 @@
 		return stepRetry, nil
 	}
 	fw.tried = append(fw.tried, pl.view.ID)
+	if fw.begun != nil && !fi.IsAt(pl.view.StartTimeMs, fw.begun.Software) {
+		fi.End(fleet.Neutral, 0)
+		fw.unsent++
+		if fw.unsent > maxUnsentAttempts {
+			return stepGiveUp, errOtherSoftware
+		}
+		return stepRetry, errOtherSoftware
+	}
 	fw.endpointID = pl.view.ID
 	gw.opts.Meter.Dispatched(rq.route.Name)
 	pl.sentAt = gw.opts.Clock.Now()
@@ -279,7 +294,7 @@
 // canRetry reports whether the request may run again at another endpoint.
 func (fw *forwarder) canRetry() bool {
 	return fw.rq.route.IsRepeatable() && !fw.hasUnnumberedEvents && fw.sent < fw.rq.route.MaxAttempts &&
-		fw.rq.deadline.Sub(fw.gw.opts.Clock.Now()) > minAttemptTime
+		fw.rq.deadline.Sub(fw.gw.opts.Clock.Now()) > minAttemptTime && fw.isOriginKnown()
 }
 
 // healthOutcome returns the outcome for the endpoint's health. A failure after the client left or the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -14,6 +15,7 @@
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/origin"
 	"github.com/bergamotway/bergamotway/internal/placement"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
 	"github.com/bergamotway/bergamotway/internal/retry"
@@ -67,6 +69,12 @@
 		TargetVersion func(model string) uint64
 		// IsVersionExpired reports whether a weight version of a model may no longer be used.
 		IsVersionExpired func(model string, version uint64) bool
+		// Origins remembers which software version began each stream; nil means that no stream is told to other hosts, and
+		// that each service has one version.
+		Origins *origin.Directory
+		// IsSoftwareRecorded reports whether all hosts will know, also after a restart, that a software version is in service;
+		// nil means always.
+		IsSoftwareRecorded func(service, software string) bool
 		// WeightsTimeLeft returns for how long a request may still begin on a weight version of a model; ok is
 		// false if that is not limited.
 		WeightsTimeLeft func(model string, version uint64) (d time.Duration, ok bool)
@@ -85,6 +93,12 @@
 
 // New returns a gateway without a configuration. It refuses requests until Configure is called.
 func New(opts Options) *Gateway {
+	if opts.Origins == nil {
+		opts.Origins = origin.New(origin.Options{Clock: opts.Clock})
+	}
+	if opts.IsSoftwareRecorded == nil {
+		opts.IsSoftwareRecorded = func(string, string) bool { return true }
+	}
 	return &Gateway{opts: opts, bodyBudget: bodyBudget{limit: opts.BodyMemoryBytes}}
 }
 
@@ -177,7 +191,8 @@
 			return http.StatusUnauthorized, "unknown-key"
 		}
 	}
-	name := ro.PickService(rq.ID)
+	// A stream that is taken up stays at its service.
+	name := ro.PickService(cmp.Or(rq.Resumes, rq.ID))
 	if rq.service, ok = ct.Service(name); !ok {
 		rq.service = &catalog.Service{Name: name}
 	}
--- /dev/null
+++ b/internal/gateway/origin.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/origin"
+)
+
+const errOtherSoftware = forwardError("the endpoint no longer has the software version that began the stream")
+
+// findOrigin finds what began the stream that the client takes up. It reports whether the stream may go on.
+func (fw *forwarder) findOrigin(ctx context.Context) bool {
+	rq := fw.rq
+	or, ok := fw.gw.opts.Origins.Find(ctx, origin.Stream{Team: rq.teamName(), Request: rq.Resumes}, rq.service.Name)
+	if !ok || or.Service != rq.service.Name {
+		return false
+	}
+	fw.begun = &or
+	return fw.isOriginKnown()
+}
+
+// recordOrigin remembers which endpoint begins the stream, before its first event is forwarded.
+func (fw *forwarder) recordOrigin(pl plan, fi *fleet.InFlight) {
+	rq := fw.rq
+	if fw.events > 0 || !rq.canBeTakenUp() {
+		return
+	}
+	if fw.begun == nil {
+		fw.begun = &origin.Origin{Service: rq.service.Name}
+		// An endpoint that has been restarted in the meantime may have another version than the one that was known.
+		if fi.IsAt(pl.view.StartTimeMs, pl.view.SoftwareVersion) {
+			fw.begun.Software = pl.view.SoftwareVersion
+		}
+	}
+	fw.gw.opts.Origins.Record(origin.Stream{Team: rq.teamName(), Request: rq.ID}, *fw.begun)
+}
+
+// isOriginKnown reports whether the software version at which a stream must go on is known. Without any versions all endpoints
+// of the service count as having the same.
+func (fw *forwarder) isOriginKnown() bool {
+	return fw.begun == nil || fw.begun.Software != "" || fw.gw.opts.Origins.IsSole(fw.begun.Service)
+}
+
+// refuseTakeUp refuses to resume a stream of which it is not known which software version began it, or that began at another
+// service.
+func (fw *forwarder) refuseTakeUp() {
+	fw.gw.refuse(fw.w, fw.rq, http.StatusServiceUnavailable, "unknown-origin", 0, nil)
+}
+
+// targetLeft returns the time that is left until the first event would be late; zero if it has no target. A client that takes a
+// stream up has the first event already.
+func (fw *forwarder) targetLeft() time.Duration {
+	if fw.rq.isTakeUp() {
+		return 0
+	}
+	return fw.rq.route.TargetLatency - fw.gw.opts.Clock.Now().Sub(fw.rq.arrived)
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -83,14 +83,19 @@
 func (fw *forwarder) chooseEndpoint(remaining time.Duration) (pl plan, ok bool) {
 	gw, rq := fw.gw, fw.rq
 	homeZone, sampleSize := fw.sampleBounds()
-	views := gw.opts.Fleet.Sample(rq.service.Name, homeZone, rq.ID, sampleSize)
+	var views []fleet.View
+	if fw.begun == nil {
+		views = gw.opts.Fleet.Sample(rq.service.Name, homeZone, rq.ID, sampleSize)
+	} else {
+		views = gw.opts.Fleet.SampleSoftware(rq.service.Name, fw.begun.Software, homeZone, rq.ID, sampleSize)
+	}
 	job := placement.Job{ID: rq.ID, Zone: gw.opts.Zone, Tried: fw.tried, Model: rq.Model}
 	if rq.service.Engine == nil {
 		job.Model = ""
 	}
 	cands := make([]placement.Candidate, len(views))
 	for i, vw := range views {
-		cands[i] = placement.Candidate{View: vw}
+		cands[i] = placement.Candidate{View: vw, Unrecorded: rq.canBeTakenUp() && !gw.opts.IsSoftwareRecorded(rq.service.Name, vw.SoftwareVersion)}
 	}
 	if job.Model != "" {
 		job.MemoryTokens, job.OutputTokens = rq.memoryTokens(), rq.MaxOutputTokens
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -121,6 +121,24 @@
 	}
 )
 
+// isTakeUp reports whether the request resumes a stream that an earlier request of the client began.
+func (rq *Request) isTakeUp() bool {
+	return rq.route.Kind == catalog.Streaming && (rq.LastEventID != "" || rq.Resumes != "")
+}
+
+// canBeTakenUp reports whether the response is a stream that the client may resume with another request.
+func (rq *Request) canBeTakenUp() bool {
+	return rq.route.Kind == catalog.Streaming && rq.route.Resumable
+}
+
+// teamName returns the name of the team, empty on public routes.
+func (rq *Request) teamName() string {
+	if rq.team == nil {
+		return ""
+	}
+	return rq.team.Name
+}
+
 // conversationID returns the ID of the last part that other requests share; it identifies the
 // conversation.
 func (rq *Request) conversationID() string {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -75,6 +75,7 @@
 		if !fw.headerWritten {
 			fw.gw.opts.Meter.ObserveFirstToken(fw.rq.route.Name, fw.gw.opts.Clock.Now().Sub(fw.rq.arrived))
 		}
+		fw.recordOrigin(pl, fi)
 		fw.writeHeader(rs)
 		if fw.pinnedVersion == 0 {
 			fw.pinnedVersion = pl.delivery.WeightVersion
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/bergamotway/bergamotway/internal/gateway"
 	"github.com/bergamotway/bergamotway/internal/leadership"
 	"github.com/bergamotway/bergamotway/internal/metastore"
+	"github.com/bergamotway/bergamotway/internal/origin"
 	"github.com/bergamotway/bergamotway/internal/peering"
 	"github.com/bergamotway/bergamotway/internal/placement"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
@@ -106,6 +107,7 @@
 		retryBudget     *retry.WindowBudget
 		quarantine      *quarantine.Tracker
 		parts           *quarantine.PartTracker
+		origins         *origin.Directory
 		storeState      *storeState
 		leaderLease     *leadership.Candidate
 		upgrades        *upgrade.Controller
@@ -163,6 +165,8 @@
 	})
 	no.parts = no.newPartTracker()
 	no.storeState.verdicts = no.newVerdictRecords()
+	no.storeState.releases = no.newReleaseHistory()
+	no.origins = no.newOriginDirectory()
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
 		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, OnChange: no.logLeadership,
@@ -187,7 +191,7 @@
 		Log:             lg.WithField("part", "gateway"), Meter: deps.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		HostCount:     func() int { return int(no.hostCount.Load()) },
 		TargetVersion: no.storeState.targets.Target, IsVersionExpired: no.storeState.targets.IsExpired,
-		WeightsTimeLeft: no.weightsTimeLeft,
+		WeightsTimeLeft: no.weightsTimeLeft, Origins: no.origins, IsSoftwareRecorded: no.storeState.releases.IsRecorded,
 	})
 	if err := deps.Meter.ObserveEndpoints(no.countStatements); err != nil {
 		return nil, err
@@ -211,6 +215,7 @@
 	}, no.ck); err != nil {
 		return err
 	}
+	no.exchange.HandleMessages(no.handleMessage)
 	if no.clientListener, err = net.Listen("tcp", no.st.Listen); err != nil {
 		return errors.Wrap(err, "node: listen for clients")
 	}
@@ -247,6 +252,7 @@
 	eg.Go(func() error { no.followCacheStores(workCtx); return nil })
 	eg.Go(func() error { no.storeState.targets.Run(workCtx); return nil })
 	eg.Go(func() error { no.storeState.verdicts.Run(workCtx); return nil })
+	eg.Go(func() error { no.storeState.releases.Run(workCtx); return nil })
 	leaderCtx, endLeading := context.WithCancel(workCtx)
 	defer endLeading()
 	eg.Go(func() error { no.leaderLease.Run(leaderCtx); return nil })
--- /dev/null
+++ b/internal/node/origin.go
@@ -0,0 +1,48 @@
+package node
+
+import (
+	"time"
+
+	"github.com/bergamotway/bergamotway/internal/origin"
+	"github.com/bergamotway/bergamotway/internal/release"
+)
+
+const (
+	// streamRetention is how long streams, and software versions that have gone, are remembered. It is longer than a client may
+	// take to get a stream over all its attempts.
+	streamRetention = time.Minute
+	// unregisteredRecordDelay is how long a host that is not registered leaves it to others to record software versions.
+	unregisteredRecordDelay = 3 * time.Second
+)
+
+// newReleaseHistory returns what keeps the software versions of each service in the metadata store.
+func (no *Node) newReleaseHistory() *release.History {
+	return release.New(release.Options{
+		Clock: no.ck, Store: no.deps.Store, Prefix: prefixSoftware, InService: no.fleet.SoftwareVersions, RecordDelay: no.releaseDelay,
+		Retention: streamRetention, Log: no.log.WithField("part", "state"),
+	})
+}
+
+// releaseDelay returns how long after software versions are due this host records them. The hosts of a fleet that starts do not
+// know their ranks before they are registered.
+func (no *Node) releaseDelay() time.Duration {
+	if !no.isRegistered() {
+		return unregisteredRecordDelay
+	}
+	return no.recordDelay()
+}
+
+// newOriginDirectory returns what remembers which software version began each stream.
+func (no *Node) newOriginDirectory() *origin.Directory {
+	return origin.New(origin.Options{
+		Clock: no.ck, Host: no.st.Name, Hosts: no.allHosts, Sole: no.storeState.releases.Sole, Retention: streamRetention,
+		Send: func(host string, data []byte) { no.exchange.SendMessage(host, data) },
+	})
+}
+
+// handleMessage handles a message from another host.
+func (no *Node) handleMessage(data []byte) {
+	if err := no.origins.Handle(data); err != nil {
+		no.log.WithField("cause", err.Error()).Warn("Message of another host is invalid.")
+	}
+}
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -14,7 +14,7 @@
 // newPartTracker returns the tracker of the parts of prompts that crash endpoints.
 func (no *Node) newPartTracker() *quarantine.PartTracker {
 	return quarantine.NewPartTracker(quarantine.PartOptions{
-		Clock: no.ck, Host: no.st.Name, Hosts: no.quarantineHosts, OnChange: no.notePartChange,
+		Clock: no.ck, Host: no.st.Name, Hosts: no.allHosts, OnChange: no.notePartChange,
 	})
 }
 
@@ -36,8 +36,8 @@
 	return delay
 }
 
-// quarantineHosts returns the names of all hosts, including this one even if it is not registered.
-func (no *Node) quarantineHosts() []string {
+// allHosts returns the names of all hosts, including this one even if it is not registered.
+func (no *Node) allHosts() []string {
 	names := no.storeState.hostNames()
 	for _, name := range names {
 		if name == no.st.Name {
--- a/internal/node/software_test.go
+++ b/internal/node/software_test.go
@@ -178,6 +178,7 @@
 	env.writeConfiguration()
 	first, stop := env.startHost("host-0")
 	env.awaitReadiness(first, true)
+	require.Eventually(t, func() bool { return env.store.Value("bergamotway/software/engines") != nil }, waitTimeout, pollInterval)
 	id := env.requestID()
 	env.receiveEvents(first, id, 2)
 	stop()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -16,6 +16,7 @@
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
+	"github.com/bergamotway/bergamotway/internal/release"
 	"github.com/bergamotway/bergamotway/internal/verdicts"
 	"github.com/bergamotway/bergamotway/internal/weights"
 )
@@ -25,6 +26,7 @@
 	prefixHosts      = prefixOwn + "hosts/"
 	prefixTargets    = prefixOwn + "named/"
 	prefixVerdicts   = verdicts.Prefix
+	prefixSoftware   = prefixOwn + "software/"
 	keyCheckpoint    = prefixOwn + "checkpoint"
 	keyGates         = prefixOwn + "cache/gates"
 	keyUpgradeLeader = prefixOwn + "leader/weights"
@@ -80,6 +82,8 @@
 		targets *weights.Targets
 		// verdicts receives the items about parts of prompts that crash endpoints.
 		verdicts *verdicts.Records
+		// releases receives the items about software versions.
+		releases *release.History
 		// unreachable is set after a failed call to the store, until a call succeeds.
 		unreachable bool
 		// hasLeader reports whether the upgrade leader's item exists.
@@ -129,6 +133,7 @@
 		ss.applyHostItem(it)
 	}
 	ss.verdicts.ApplySnapshot(sn)
+	ss.releases.ApplySnapshot(sn)
 	for _, it := range sn.Items {
 		if _, ok := ss.decoder.EndpointID(it.Key); ok {
 			en, err := ss.decoder.Entry(it.Key, it.Value)
@@ -198,6 +203,7 @@
 		return
 	}
 	ss.verdicts.ApplyEvent(ev)
+	ss.releases.ApplyEvent(ev)
 	ss.applyHostItem(it)
 	if it.Key == keyUpgradeLeader {
 		ss.hasLeader.Store(!ev.Removed)
@@ -249,6 +255,7 @@
 		return
 	}
 	if ss.fleet.Put(en) {
+		ss.releases.NotifyChanged()
 		fields["service"], fields["draining"], fields["cold-ms"] = en.Service, en.Draining, en.ColdFor.Milliseconds()
 		fields["born"], fields["models"] = en.StartTimeMs, en.Models
 		fields["software"] = en.SoftwareVersion
--- a/internal/peering/frame.go
+++ b/internal/peering/frame.go
@@ -16,9 +16,13 @@
 	frameLengthError struct{ header, datagram int }
 )
 
-// frameMark is the first byte of a datagram with binary loads. A datagram without loads outside its header is
-// a JSON object and begins with a brace.
-const frameMark = 0x01
+const (
+	// frameMark is the first byte of a datagram with binary loads. A datagram without loads outside its header is
+	// a JSON object and begins with a brace.
+	frameMark = 0x01
+	// messageMark is the first byte of a datagram that holds a message instead of a digest.
+	messageMark = 0x02
+)
 
 // Error returns a message with the cause.
 func (e *FrameError) Error() string { return fmt.Sprintf("peering: invalid digest: %v", e.cause) }
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -95,6 +95,8 @@
 		PrefillTokens int
 		// FetchTime is the time to fetch the other prompt tokens from cache stores.
 		FetchTime time.Duration
+		// Unrecorded marks an endpoint whose software version a host that starts later may not know of.
+		Unrecorded bool
 		// Expired marks an engine whose weights may no longer be used.
 		Expired bool
 		// TimeLeft is how long requests may still begin on the engine's weights; zero means without a limit.
@@ -111,7 +113,7 @@
 )
 
 // Choose returns the candidate with the lowest expected cost; ok is false if no candidate is allowed.
-// Endpoints that failed recently come after all others, and engines that load new weights come last.
+// Endpoints that failed recently come after all others, and engines that load new weights and those of an unrecorded software version come last.
 func Choose(job Job, cands []Candidate) (ch Choice, ok bool) {
 	bestCost := 0.0
 	bestRank := 0
@@ -128,7 +130,7 @@
 		}
 		cost += tieBreakMs * float64(rendezvous.Score(seed, rendezvous.Hash(ca.ID))>>40) / (1 << 24)
 		rank := 0
-		if ca.Loading {
+		if ca.Loading || ca.Unrecorded {
 			rank = 2
 		} else if ca.Avoided {
 			rank = 1
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -54,6 +54,29 @@
 	return out
 }
 
+// First returns the first count of the nodes in descending order of their score for a key. It does not sort the others.
+func First(key uint64, nodes []string, count int) []string {
+	type scoredNode struct {
+		name  string
+		score uint64
+	}
+	best := make([]scoredNode, 0, count+1)
+	for _, node := range nodes {
+		sn := scoredNode{name: node, score: Score(key, Hash(node))}
+		if len(best) == count && (count == 0 || sn.score <= best[count-1].score) {
+			continue
+		}
+		at, _ := slices.BinarySearchFunc(best, sn, func(a, b scoredNode) int { return cmp.Compare(b.score, a.score) })
+		best = slices.Insert(best, at, sn)
+		best = best[:min(len(best), count)]
+	}
+	out := make([]string, len(best))
+	for i, sn := range best {
+		out[i] = sn.name
+	}
+	return out
+}
+
 // IsAmongFirst reports whether node is among the first count of the nodes by their score for a key.
 func IsAmongFirst(key uint64, node string, nodes []string, count int) bool {
 	if count >= len(nodes) {
