--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -43,12 +43,19 @@
 )
 
 type (
+	// Dialer opens connections.
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	}
+
 	// Options configures a Pool. The zero value is usable.
 	Options struct {
 		// DialTimeout is the timeout for opening a connection; zero means 300 ms.
 		DialTimeout time.Duration
 		// Clock is the time source; nil means the system clock.
 		Clock clock.Clock
+		// Dialer opens the connections; nil means TCP connections that end when sent bytes stay unacknowledged for 900 ms.
+		Dialer Dialer
 		// OnOpen, if not nil, is called for each new connection.
 		OnOpen func()
 	}
@@ -122,6 +129,9 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.System()
 	}
+	if opts.Dialer == nil {
+		opts.Dialer = &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
+	}
 	return &Pool{opts: opts, targets: make(map[Target]*targetConns)}
 }
 
@@ -274,12 +284,25 @@
 // RefusesConnections reports whether the target refuses connections because nothing listens there any more.
 // The check takes at most 100 ms; a target that does not respond in time counts as listening.
 func (po *Pool) RefusesConnections(ctx context.Context, target Target) bool {
-	nd := net.Dialer{Timeout: min(probeTimeout, po.opts.DialTimeout), KeepAlive: -1}
-	raw, err := nd.DialContext(ctx, "tcp", target.Address)
+	return errors.Is(po.probe(ctx, target), syscall.ECONNREFUSED)
+}
+
+// Accepts reports whether the target accepts a connection within 100 ms.
+func (po *Pool) Accepts(ctx context.Context, target Target) bool { return po.probe(ctx, target) == nil }
+
+// probe opens a connection and closes it.
+func (po *Pool) probe(ctx context.Context, target Target) error {
+	raw, err := po.dial(ctx, target, min(probeTimeout, po.opts.DialTimeout))
 	if err == nil {
 		closeConn(raw)
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return err
+}
+
+func (po *Pool) dial(ctx context.Context, target Target, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return po.opts.Dialer.DialContext(ctx, "tcp", target.Address)
 }
 
 // CloseIdleExcept closes the idle connections to all targets for which keep returns false.
@@ -327,8 +350,7 @@
 	}
 	tc.open++
 	po.mu.Unlock()
-	nd := net.Dialer{Timeout: po.opts.DialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	raw, err := nd.DialContext(ctx, "tcp", target.Address)
+	raw, err := po.dial(ctx, target, po.opts.DialTimeout)
 	if err != nil {
 		po.mu.Lock()
 		tc.open--
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -89,6 +89,8 @@
 		Caches  cachedir.Source
 		Engines upgrade.Engines
 		Meter   *telemetry.Meter
+		// Dialer opens the connections to endpoints; nil means the system's.
+		Dialer attempt.Dialer
 	}
 
 	// Node is a gateway host: it serves clients, exchanges state with its peers and, when it is the
@@ -143,7 +145,7 @@
 	no := &Node{
 		st: st, deps: deps, ck: ck, log: lg,
 		peerSeenRevisions: make(map[string]metastore.Revision),
-		pool:              attempt.NewPool(attempt.Options{Clock: ck, OnOpen: deps.Meter.ConnectionOpened}),
+		pool:              attempt.NewPool(attempt.Options{Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened}),
 		cache:             cachedir.New(ck),
 		reregister:        make(chan struct{}, 1),
 		quarantine:        quarantine.NewTracker(ck),
