--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/node"
 	"github.com/bergamotway/bergamotway/internal/standin/site"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
@@ -99,6 +100,11 @@
 
 // startHost starts a host and returns it with a function that stops it.
 func (env *testEnv) startHost(name string) (*node.Node, context.CancelFunc) {
+	return env.startHostWithDialer(name, nil)
+}
+
+// startHostWithDialer starts a host that reaches the endpoints through a dialer.
+func (env *testEnv) startHostWithDialer(name string, dialer attempt.Dialer) (*node.Node, context.CancelFunc) {
 	meter, err := telemetry.New()
 	require.NoError(env.t, err)
 	lg := logrus.New()
@@ -109,7 +115,7 @@
 		Store: env.store.Address(), Bounds: env.bounds,
 	}, node.Dependencies{
 		Store: platform.NewMetadataStore(env.store.Address(), nil), Decoder: platform.Decoder{}, Codec: platform.Codec{},
-		Caches: engines, Engines: engines, Meter: meter,
+		Caches: engines, Engines: engines, Meter: meter, Dialer: dialer,
 	}, lg)
 	require.NoError(env.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
