--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,9 @@
 		// OnStatementChange is called when an endpoint says something else of itself than before; nil means that nobody is
 		// told.
 		OnStatementChange func(StatementChange)
+		// OnReachChange is called when this host reaches no endpoint of a service any more, or one again; nil means that nobody
+		// is told.
+		OnReachChange func(ReachChange)
 	}
 
 	// Fleet is what a host knows of the endpoints. It is safe for concurrent use.
@@ -55,6 +58,8 @@
 		// hostsVersion counts the changes of hosts.
 		hostsVersion int
 		evacuated    map[string]bool
+		// reach holds the services of which an attempt has ended without a response since the last response, by name.
+		reach map[string]*reach
 		// departed holds the endpoints whose entries disappeared lately, by identifier.
 		departed map[string]departure
 		synced   bool
@@ -103,6 +108,7 @@
 		hosts:     []string{opts.Host},
 		evacuated: make(map[string]bool),
 		departed:  make(map[string]departure),
+		reach:     make(map[string]*reach),
 	}
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -206,6 +206,7 @@
 			outcome = fleet.Neutral
 		} else {
 			gw.opts.Pool.CloseIdle(target)
+			fi.Silent()
 		}
 		fi.End(outcome, coldFor)
 		fw.recordFailedAttempt(pl, "not-sent", err)
@@ -223,6 +224,9 @@
 			outcome = fleet.Unreachable
 			gw.opts.Pool.CloseIdle(target)
 		}
+		if ctx.Err() == nil {
+			fi.Silent()
+		}
 		fi.End(outcome, coldFor)
 		fw.recordCrash(ctx, target, pl.sentAt, err)
 		fw.recordFailedAttempt(pl, "broken", err)
@@ -232,6 +236,7 @@
 		return stepGiveUp, err
 	}
 	defer rs.Close()
+	fi.Responded()
 	for _, hd := range rs.Interim {
 		fw.recordStatement(pl, gw.opts.Codec.DecodeResponseMeta(http.StatusContinue, hd).Statement, false)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,8 @@
 		stopping  atomic.Bool
 
 		reclaimer *reclaimer
+		// cutOff receives a value when this host may reach no endpoint of a service any more.
+		cutOff chan struct{}
 		// reregister receives a value when the registration may be lost.
 		reregister chan struct{}
 		// registeredUntil is the time since boot, in nanoseconds, until which the registration is valid.
@@ -147,10 +149,11 @@
 		peerSeenRevisions: make(map[string]metastore.Revision),
 		pool:              attempt.NewPool(attempt.Options{Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened}),
 		cache:             cachedir.New(ck),
+		cutOff:            make(chan struct{}, 1),
 		reregister:        make(chan struct{}, 1),
 		quarantine:        quarantine.NewTracker(ck),
 	}
-	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement})
+	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement, OnReachChange: no.noteReach})
 	no.hostCount.Store(1)
 	no.currentSettings.Store(&st)
 	setMemoryLimit(st.MemoryMiB)
@@ -251,6 +254,7 @@
 	eg.Go(func() error { return no.exchange.Run(workCtx, (*digestSource)(no)) })
 	eg.Go(func() error { no.maintainRegistration(workCtx); return nil })
 	eg.Go(func() error { no.sweepConnections(workCtx); return nil })
+	eg.Go(func() error { no.probeEndpoints(workCtx); return nil })
 	eg.Go(func() error { no.followCacheStores(workCtx); return nil })
 	eg.Go(func() error { no.storeState.targets.Run(workCtx); return nil })
 	eg.Go(func() error { no.storeState.verdicts.Run(workCtx); return nil })
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -58,6 +58,7 @@
 	connections        metric.Int64Counter
 	partQuarantine     metric.Int64Counter
 	endpointStatements metric.Int64Counter
+	reachChanges       metric.Int64Counter
 	acceleratorTime    metric.Float64Counter
 
 	controlBytesTotal   atomic.Int64
@@ -97,6 +98,7 @@
 		{&me.requests, "bergamotway.requests", "Requests by route and how they ended."},
 		{&me.connections, "bergamotway.connections", "Connections opened to endpoints."},
 		{&me.endpointStatements, "bergamotway.endpoint.statements", "Changes of what endpoints say of themselves by statement and change."},
+		{&me.reachChanges, "bergamotway.reach", "Changes of whether any endpoint of a service responds to this host, by service and change."},
 		{&me.partQuarantine, "bergamotway.part.quarantine", "Changes of the quarantine of prompt parts by kind."},
 	}
 	for _, c := range counters {
@@ -191,6 +193,15 @@
 	me.endpointStatements.Add(context.Background(), 1, metric.WithAttributes(attribute.String("statement", kind), attribute.String("change", change)))
 }
 
+// ReachChanged counts that this host reaches no endpoint of a service any more, or one again.
+func (me *Meter) ReachChanged(service string, isCutOff bool) {
+	change := "ended"
+	if isCutOff {
+		change = "begun"
+	}
+	me.reachChanges.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("change", change)))
+}
+
 // ObserveEndpoints adds a gauge of the endpoints that count returns at each scrape.
 func (me *Meter) ObserveEndpoints(count func() []EndpointCount) error {
 	_, err := me.om.Int64ObservableGauge("bergamotway.endpoints",
