gateway, relay: pass requests through other hosts while no endpoint responds to this one

Cause: a host had no path but its own. It knew within a second that no endpoint responded to it, refused at once, and stayed ready.

Change: a request for a service of which no endpoint responds to this host goes through another host, and so does one that two endpoints in turn did not respond to. The neighbour applies routes, keys, quarantine, admission and placement as for a client of its own, with the client's identifier and the time that is left, and does not pass the request on again. It is cancelled with the client, counted once in the retry budget, and runs at most once: what may have run goes on only if it is repeatable. A host that is cut off reports no crashes of endpoints any more.

Evidence: TestHostCutOffFromAllEndpointsServes failed before (0 of 100 served 3 s after the cut) for refused, hanging and half-open links.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -240,6 +240,9 @@
 	return ro.Services[0].Service
 }
 
+// IsStream reports whether responses are streams of events.
+func (ro *Route) IsStream() bool { return ro.Kind == Streaming }
+
 // IsRepeatable reports whether a request of the route may run more than once.
 func (ro *Route) IsRepeatable() bool {
 	return ro.Kind == Idempotent || (ro.Kind == Streaming && ro.Resumable)
--- a/internal/fleet/reach.go
+++ b/internal/fleet/reach.go
@@ -36,7 +36,10 @@
 
 // Responded records that the endpoint has responded, whatever the response was.
 func (fi *InFlight) Responded() {
-	fi.fl.noteReached(fi.ep.entry.Service)
+	fi.fl.mu.Lock()
+	service := fi.ep.entry.Service
+	fi.fl.mu.Unlock()
+	fi.fl.NoteReached(service)
 }
 
 // Silent records that the attempt ended without a response although neither the client nor the deadline ended it.
@@ -51,7 +54,16 @@
 }
 
 // NoteReached records that an endpoint of a service accepts connections of this host.
-func (fl *Fleet) NoteReached(service string) { fl.noteReached(service) }
+func (fl *Fleet) NoteReached(service string) {
+	fl.mu.Lock()
+	re := fl.reach[service]
+	delete(fl.reach, service)
+	now := fl.opts.Clock.Now()
+	fl.mu.Unlock()
+	if re != nil && !re.cutOffAt.IsZero() && fl.opts.OnReachChange != nil {
+		fl.opts.OnReachChange(ReachChange{Service: service, Lasted: now.Sub(re.cutOffAt)})
+	}
+}
 
 // IsCutOff reports whether no endpoint of a service responds to this host. Whether the endpoints are down, or only the way to
 // them, other hosts can tell.
@@ -114,17 +126,6 @@
 	return ReachChange{Service: en.Service, IsCutOff: true}, true
 }
 
-func (fl *Fleet) noteReached(service string) {
-	fl.mu.Lock()
-	re := fl.reach[service]
-	delete(fl.reach, service)
-	now := fl.opts.Clock.Now()
-	fl.mu.Unlock()
-	if re != nil && !re.cutOffAt.IsZero() && fl.opts.OnReachChange != nil {
-		fl.opts.OnReachChange(ReachChange{Service: service, Lasted: now.Sub(re.cutOffAt)})
-	}
-}
-
 // isCutOff is IsCutOff for callers that hold the lock.
 func (fl *Fleet) isCutOff(service string) bool {
 	re := fl.reach[service]
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -39,6 +39,9 @@
 		return
 	}
 	detectedAt := fw.gw.opts.Clock.Now()
+	if fw.gw.opts.Fleet.IsCutOff(fw.rq.service.Name) {
+		return
+	}
 	if !fw.gw.opts.Pool.RefusesConnections(ctx, target) {
 		return
 	}
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -72,6 +72,7 @@
 	}
 	retryAfter := placement.RetryAfter(fw.rq.ID, pl.expectedTTFT, fw.rq.route.TargetLatency, remaining)
 	fw.gw.opts.Codec.WriteRefusalHeader(fw.w.Header(), fw.rq, retryAfter)
+	markNotRun(fw.w, fw.rq, http.StatusServiceUnavailable)
 	fw.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	fw.w.WriteHeader(http.StatusServiceUnavailable)
 	// A write error means that the client has disconnected.
@@ -136,5 +137,8 @@
 	if err != nil {
 		fields["cause"] = err.Error()
 	}
+	if fw.rq.relayedFrom != nil {
+		fields["relayed"] = true
+	}
 	fw.gw.opts.Log.WithFields(fields).Info("Attempt failed.")
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -59,6 +59,12 @@
 		pinnedVersion uint64
 		// begun is what began the stream; nil before its first event. The stream goes on only at the same software version.
 		begun *origin.Origin
+		// silent counts the endpoints that did not respond to the request, unless the client or the deadline ended the attempt.
+		silent int
+		// hasTriedNeighbours is set once neighbours have been tried, and isRelayed once one has a response of an endpoint.
+		// refusal is the last refusal of a neighbour that says when the client may come back.
+		hasTriedNeighbours, isRelayed bool
+		refusal                       *neighbourRefusal
 		// headerWritten is set once the response header has been written to the client.
 		headerWritten bool
 		// resetOnAbort is set if the client uses HTTP/1.0, which has no chunks: there the end of the
@@ -96,7 +102,12 @@
 func (fw *forwarder) run(clientCtx context.Context) {
 	gw, rq := fw.gw, fw.rq
 	fw.lastEventID = rq.LastEventID
-	gw.opts.Budget.RecordRequest(rq.service.Name)
+	if rq.relayedFrom == nil {
+		gw.opts.Budget.RecordRequest(rq.service.Name)
+	} else {
+		// The host that took the request from the client has counted it.
+		fw.sent = rq.relayedFrom.attempts
+	}
 	ctx, cancel := context.WithDeadline(clientCtx, rq.deadline)
 	defer cancel()
 	if rq.isTakeUp() && !fw.findOrigin(ctx) {
@@ -117,8 +128,16 @@
 			fw.refuseQuarantined(0, lastErr)
 			return
 		}
+		if rq.relayedFrom != nil && gw.opts.Fleet.IsCutOff(rq.service.Name) {
+			fw.refuseUnserved()
+			return
+		}
 		var step nextStep
-		step, lastErr = fw.attempt(ctx, clientCtx, remaining, lastErr)
+		if fw.takesNeighbour() {
+			step, lastErr = fw.tryNeighbours(ctx, clientCtx)
+		} else {
+			step, lastErr = fw.attempt(ctx, clientCtx, remaining, lastErr)
+		}
 		switch step {
 		case stepDone:
 			return
@@ -207,6 +226,7 @@
 		} else {
 			gw.opts.Pool.CloseIdle(target)
 			fi.Silent()
+			fw.silent++
 		}
 		fi.End(outcome, coldFor)
 		fw.recordFailedAttempt(pl, "not-sent", err)
@@ -226,6 +246,7 @@
 		}
 		if ctx.Err() == nil {
 			fi.Silent()
+			fw.silent++
 		}
 		fi.End(outcome, coldFor)
 		fw.recordCrash(ctx, target, pl.sentAt, err)
@@ -298,7 +319,7 @@
 
 // canRetry reports whether the request may run again at another endpoint.
 func (fw *forwarder) canRetry() bool {
-	return fw.rq.route.IsRepeatable() && !fw.hasUnnumberedEvents && fw.sent < fw.rq.route.MaxAttempts &&
+	return fw.rq.route.IsRepeatable() && !fw.isRelayed && !fw.hasUnnumberedEvents && fw.sent < fw.rq.route.MaxAttempts &&
 		fw.rq.deadline.Sub(fw.gw.opts.Clock.Now()) > minAttemptTime && fw.isOriginKnown()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/bergamotway/bergamotway/internal/origin"
 	"github.com/bergamotway/bergamotway/internal/placement"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
+	"github.com/bergamotway/bergamotway/internal/relay"
 	"github.com/bergamotway/bergamotway/internal/retry"
 )
 
@@ -59,6 +60,10 @@
 		Meter Meter
 		// BodyMemoryBytes bounds the memory of all request bodies together, in bytes; zero means no bound.
 		BodyMemoryBytes int64
+		// Neighbours are the hosts through which requests reach services that do not respond to this host, over the connections
+		// of RelayPool; nil means that there are none.
+		Neighbours *relay.Neighbours
+		RelayPool  *attempt.Pool
 		// Zone is the availability zone of this host.
 		Zone string
 		// Policy chooses endpoints; the zero value chooses the lowest expected cost.
@@ -87,7 +92,9 @@
 		keepAlivesDisabled atomic.Bool
 		refusingNew        atomic.Bool
 		inFlight           atomic.Int64
-		bodyBudget         bodyBudget
+		// relayed is the number of requests of other hosts in flight.
+		relayed    atomic.Int64
+		bodyBudget bodyBudget
 	}
 )
 
@@ -129,7 +136,10 @@
 func (gw *Gateway) InFlight() int { return int(gw.inFlight.Load()) }
 
 // ServeHTTP serves one client request.
-func (gw *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) {
+func (gw *Gateway) ServeHTTP(w http.ResponseWriter, hr *http.Request) { gw.serve(w, hr, nil) }
+
+// serve serves a request of a client, or one that another host has passed on.
+func (gw *Gateway) serve(w http.ResponseWriter, hr *http.Request, from *relayedFrom) {
 	gw.inFlight.Add(1)
 	defer gw.inFlight.Add(-1)
 	arrived := gw.opts.Clock.Now()
@@ -137,7 +147,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	rq, err := gw.opts.Codec.DecodeRequest(hr)
-	rq.arrived = arrived
+	rq.arrived, rq.relayedFrom = arrived, from
 	if err != nil {
 		gw.refuse(w, rq, http.StatusBadRequest, "malformed", 0, err)
 		return
@@ -226,6 +236,7 @@
 // refuse responds to a request that this host does not forward, or no longer retries.
 func (gw *Gateway) refuse(w http.ResponseWriter, rq *Request, status int, reason string, retryAfter time.Duration, cause error) {
 	gw.opts.Codec.WriteRefusalHeader(w.Header(), rq, retryAfter)
+	markNotRun(w, rq, status)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	w.WriteHeader(status)
 	// A write error means that the client has disconnected.
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -25,7 +25,8 @@
 // recordOrigin remembers which endpoint begins the stream, before its first event is forwarded.
 func (fw *forwarder) recordOrigin(pl plan, fi *fleet.InFlight) {
 	rq := fw.rq
-	if fw.events > 0 || !rq.canBeTakenUp() {
+	// A neighbour has recorded what it forwards.
+	if fw.events > 0 || fw.isRelayed || !rq.canBeTakenUp() {
 		return
 	}
 	if fw.begun == nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -54,6 +54,8 @@
 		team     *catalog.Team
 		arrived  time.Time
 		deadline time.Time
+		// relayedFrom is set if another host has passed the request on.
+		relayedFrom *relayedFrom
 	}
 
 	// DeliveryOptions holds the values that the host adds to a request when it sends it to an endpoint.
@@ -111,6 +113,9 @@
 		DecodeRequest(hr *http.Request) (*Request, error)
 		// EncodeRequestHeader encodes the header of a request to an endpoint, including the empty line at its end.
 		EncodeRequestHeader(rq *Request, dl DeliveryOptions) []byte
+		// EncodeRelayHeader encodes the header of a request to another host that serves it in place of this one, with fields of the
+		// host's own and the empty line at its end.
+		EncodeRelayHeader(rq *Request, remaining time.Duration, own http.Header) []byte
 		// DecodeResponseMeta reads the header of an endpoint's response.
 		DecodeResponseMeta(status int, hd http.Header) ResponseMeta
 		// CopyResponseHeader copies the header of an endpoint's response to that of the client's response.
@@ -123,12 +128,12 @@
 
 // isTakeUp reports whether the request resumes a stream that an earlier request of the client began.
 func (rq *Request) isTakeUp() bool {
-	return rq.route.Kind == catalog.Streaming && (rq.LastEventID != "" || rq.Resumes != "")
+	return rq.route.IsStream() && (rq.LastEventID != "" || rq.Resumes != "")
 }
 
 // canBeTakenUp reports whether the response is a stream that the client may resume with another request.
 func (rq *Request) canBeTakenUp() bool {
-	return rq.route.Kind == catalog.Streaming && rq.route.Resumable
+	return rq.route.IsStream() && rq.route.Resumable
 }
 
 // teamName returns the name of the team, empty on public routes.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -56,7 +56,9 @@
 		case err != nil:
 			return fw.retryOrGiveUp(err)
 		}
-		fi.MarkPrefilled()
+		if fi != nil {
+			fi.MarkPrefilled()
+		}
 		if pl.ttft == 0 {
 			pl.ttft = fw.gw.opts.Clock.Now().Sub(pl.sentAt)
 			fw.observeFetches(pl)
--- a/internal/node/cut_test.go
+++ b/internal/node/cut_test.go
@@ -62,11 +62,11 @@
 		switch mode {
 		case linkRefuses:
 			_ = cn.SetLinger(0)
-			_ = cn.TCPConn.Close()
+			_ = cn.Close()
 			delete(cd.conns, cn)
 		case linkHangs:
 			// Reads that wait notice that nothing comes any more.
-			_ = cn.TCPConn.SetReadDeadline(time.Now().Add(unacknowledgedTimeout))
+			_ = cn.SetReadDeadline(time.Now().Add(unacknowledgedTimeout))
 		case linkUp, linkRefusesNew:
 		}
 	}
@@ -87,7 +87,11 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &cutConn{TCPConn: raw.(*net.TCPConn), link: cd}
+	tc, ok := raw.(*net.TCPConn)
+	if !ok {
+		return nil, net.UnknownNetworkError(network)
+	}
+	cn := &cutConn{TCPConn: tc, link: cd}
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
 	if cd.conns == nil {
@@ -109,7 +113,7 @@
 // Write drops what the link does not let through.
 func (cn *cutConn) Write(p []byte) (int, error) {
 	if cn.link.current() == linkHangs {
-		_ = cn.TCPConn.SetReadDeadline(time.Now().Add(unacknowledgedTimeout))
+		_ = cn.SetReadDeadline(time.Now().Add(unacknowledgedTimeout))
 		return len(p), nil
 	}
 	return cn.TCPConn.Write(p)
@@ -172,7 +176,8 @@
 			env.awaitHosts(2)
 			var (
 				wg       sync.WaitGroup
-				statuses sync.Map
+				mu       sync.Mutex
+				statuses = make(map[string]int)
 				stop     = make(chan struct{})
 			)
 			for i := range 4 {
@@ -187,7 +192,9 @@
 						}
 						id := fmt.Sprintf("pay-%d-%d", i, n)
 						re := env.send(cut, http.MethodPost, "/pay/1", id, "body", nil)
-						statuses.Store(id, re.status)
+						mu.Lock()
+						statuses[id] = re.status
+						mu.Unlock()
 					}
 				}()
 			}
@@ -205,13 +212,12 @@
 					runs[rr.ID]++
 				}
 			}
-			statuses.Range(func(id, status any) bool {
-				require.LessOrEqual(t, runs[id.(string)], 1, id)
+			for id, status := range statuses {
+				require.LessOrEqual(t, runs[id], 1, id)
 				if status == http.StatusServiceUnavailable {
-					require.Zero(t, runs[id.(string)], id)
+					require.Zero(t, runs[id], id)
 				}
-				return true
-			})
+			}
 		})
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/bergamotway/bergamotway/internal/peering"
 	"github.com/bergamotway/bergamotway/internal/placement"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
+	"github.com/bergamotway/bergamotway/internal/relay"
 	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
 	"github.com/bergamotway/bergamotway/internal/upgrade"
@@ -118,8 +119,12 @@
 		feedPublisher  *changefeed.Publisher
 		feedSubscriber *changefeed.Subscriber
 
-		// The listeners for clients, readiness probes and metrics; metricsListener may be nil.
+		// neighbours are the hosts through which requests reach services that do not respond to this host.
+		neighbours *relay.Neighbours
+
+		// The listeners for clients, peers' requests, readiness probes and metrics; metricsListener may be nil.
 		clientListener  net.Listener
+		relayListener   net.Listener
 		readyListener   net.Listener
 		metricsListener net.Listener
 		// hostCount is the number of registered hosts, this one included.
@@ -152,6 +157,7 @@
 		cutOff:            make(chan struct{}, 1),
 		reregister:        make(chan struct{}, 1),
 		quarantine:        quarantine.NewTracker(ck),
+		neighbours:        relay.New(ck),
 	}
 	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement, OnReachChange: no.noteReach})
 	no.hostCount.Store(1)
@@ -192,6 +198,7 @@
 	no.storeState.setTargetVersion, no.storeState.onLeaderGone = no.upgrades.SetTarget, no.leaderLease.NotifyVacant
 	no.gateway = gateway.New(gateway.Options{
 		Clock: ck, Codec: deps.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.retryBudget, Quarantine: no.quarantine, Parts: no.parts,
+		Neighbours: no.neighbours, RelayPool: attempt.NewPool(attempt.Options{Clock: ck}),
 		BodyMemoryBytes: int64(float64(st.MemoryMiB) * mebibyte * bodyMemoryShare),
 		Log:             lg.WithField("part", "gateway"), Meter: deps.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		HostCount:     func() int { return int(no.hostCount.Load()) },
@@ -224,6 +231,9 @@
 	if no.clientListener, err = net.Listen("tcp", no.st.Listen); err != nil {
 		return errors.Wrap(err, "node: listen for clients")
 	}
+	if no.relayListener, err = listenForPeers(no.st.PeerListen); err != nil {
+		return err
+	}
 	if no.readyListener, err = net.Listen("tcp", no.st.ReadyListen); err != nil {
 		return errors.Wrap(err, "node: listen for readiness")
 	}
@@ -235,6 +245,12 @@
 	return nil
 }
 
+// listenForPeers listens for the requests of peers, on the port of the digests.
+func listenForPeers(address string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", address)
+	return ln, errors.Wrap(err, "node: listen for peers")
+}
+
 // Run serves until ctx ends, and then finishes the requests in flight within Bounds.StopMs.
 func (no *Node) Run(ctx context.Context) error {
 	no.log.WithFields(logrus.Fields{
@@ -270,10 +286,14 @@
 		Handler: no.gateway, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ConnContext: gateway.WithClientConn,
 	}
+	relayServer := &http.Server{
+		Handler: no.gateway.RelayHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: 2 * maxHeaderBytes,
+		ConnContext: gateway.WithClientConn,
+	}
 	servers := []struct {
 		server   *http.Server
 		listener net.Listener
-	}{{readyServer, no.readyListener}, {clientServer, no.clientListener}}
+	}{{readyServer, no.readyListener}, {clientServer, no.clientListener}, {relayServer, no.relayListener}}
 	if no.metricsListener != nil {
 		servers = append(servers, struct {
 			server   *http.Server
@@ -289,7 +309,7 @@
 		})
 	}
 	<-ctx.Done()
-	no.stop(clientServer, endLeading)
+	no.stop(endLeading, clientServer, relayServer)
 	cancel()
 	for _, se := range servers {
 		_ = se.server.Close()
@@ -306,7 +326,7 @@
 
 // stop takes the host out of rotation and waits for the requests in flight, until stopMargin before the end of
 // Bounds.StopMs.
-func (no *Node) stop(clientServer *http.Server, endLeading func()) {
+func (no *Node) stop(endLeading func(), servers ...*http.Server) {
 	no.stopping.Store(true)
 	no.gateway.DisableKeepAlives()
 	endLeading()
@@ -317,7 +337,11 @@
 	<-no.ck.After(stopListenTime - stopAcceptTime)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	if err := clientServer.Shutdown(ctx); err != nil {
+	var eg errgroup.Group
+	for _, se := range servers {
+		eg.Go(func() error { return se.Shutdown(ctx) })
+	}
+	if err := eg.Wait(); err != nil {
 		no.log.WithFields(logrus.Fields{"active": no.gateway.InFlight(), "cause": err.Error()}).Warn("Stop cut requests.")
 	}
 }
@@ -345,6 +369,13 @@
 	no.hostCount.Store(int64(len(peers) + 1))
 	no.retryBudget.SetHostCount(len(peers) + 1)
 	no.exchange.SetPeers(peers)
+	hosts := make([]relay.Host, 0, len(peers))
+	for _, pe := range peers {
+		if pe.Relay.IsValid() {
+			hosts = append(hosts, relay.Host{Name: pe.Name, Address: pe.Relay})
+		}
+	}
+	no.neighbours.SetHosts(hosts)
 }
 
 // leaderDelay returns how long this host waits before it tries to become leader.
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -56,9 +56,11 @@
 
 	// hostRegistration is what a host writes about itself into the metadata store for its peers.
 	hostRegistration struct {
-		Zone    string  `json:"zone"`
-		Address string  `json:"address"`
-		Weight  float64 `json:"weight,omitempty"`
+		Zone    string `json:"zone"`
+		Address string `json:"address"`
+		// Relay is the address on which the host takes requests from its peers; empty for hosts of earlier versions.
+		Relay  string  `json:"relay,omitempty"`
+		Weight float64 `json:"weight,omitempty"`
 	}
 
 	// storeState follows the metadata store and passes its items to the components that use them. The
@@ -323,7 +325,11 @@
 	if err != nil {
 		return peering.Peer{}, false
 	}
-	return peering.Peer{Name: name, Zone: hr.Zone, Capacity: hr.Weight, Address: ap}, true
+	pe := peering.Peer{Name: name, Zone: hr.Zone, Capacity: hr.Weight, Address: ap}
+	if relay, err := netip.ParseAddrPort(hr.Relay); err == nil {
+		pe.Relay = relay
+	}
+	return pe, true
 }
 
 // hasHost reports whether a host with the given name is registered.
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -198,6 +198,8 @@
 		Name    string
 		Zone    string
 		Address netip.AddrPort
+		// Relay is the address on which the host takes requests from its peers; the zero value means that it takes none.
+		Relay netip.AddrPort
 		// Capacity is the relative capacity of the host. The host with the highest capacity in a zone
 		// becomes its aggregator.
 		Capacity float64
