--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -49,6 +49,11 @@
 		parts          []cachePart
 		bootEpoch      uint64
 		abandonedCount int
+		// running is the number of requests that take room, turnedAway holds when one was turned away for want of it, and
+		// brittleLimit is the number of such in a second that a brittle endpoint bears.
+		running      int
+		turnedAway   []time.Time
+		brittleLimit int
 	}
 
 	// EndpointOptions configures an Endpoint. The zero value configures a plain service.
@@ -63,6 +68,10 @@
 		SoftwareVersion string
 		// Model makes the endpoint an engine that serves this model, initially at weight version 1.
 		Model string
+		// Slots is the number of slots in the entry; zero means 8.
+		Slots int
+		// Capacity is the number of requests that the endpoint holds at a time, running or waiting; zero means any number.
+		Capacity int
 		// EventCount is the number of events in a streamed response; zero disables streaming.
 		EventCount int
 		// EventInterval is the time between two events.
@@ -226,7 +235,7 @@
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
 	value = map[string]any{
-		"service": ep.opts.Service, "address": ep.publicAddress(), "zone": ep.opts.Zone, "version": ep.softwareVersion(), "slots": 8,
+		"service": ep.opts.Service, "address": ep.publicAddress(), "zone": ep.opts.Zone, "version": ep.softwareVersion(), "slots": cmp.Or(ep.opts.Slots, 8),
 		"state": state, "coldRemainingMs": 0, "born": ep.startTimeMs, "seq": 0,
 	}
 	if ep.opts.Model != "" {
@@ -346,6 +355,16 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	switch ok, stops := ep.admit(); {
+	case stops:
+		ep.Close()
+		panic(http.ErrAbortHandler)
+	case !ok:
+		hd.Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer ep.release()
 	if fault == RespondBeforeBody {
 		hd.Set("X-Response-Seal", responseSeal)
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/standin/site/statement.go
+++ b/internal/standin/site/statement.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 )
 
@@ -11,6 +12,8 @@
 	limits     []string
 	retryAfter []string
 	isLeaving  bool
+	// brittle is the value of Server-Brittle; empty if the endpoint is sound.
+	brittle string
 	// receivedAt holds the times at which clients' requests arrived, also those that were turned away.
 	receivedAt []time.Time
 }
@@ -30,6 +33,40 @@
 	ep.statements.isLeaving = true
 }
 
+// AnnounceBrittle makes the endpoint say in all further responses that it is brittle, and stop when it has turned more than
+// limit requests away within a second for want of room.
+func (ep *Endpoint) AnnounceBrittle(limit int) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	ep.statements.brittle, ep.brittleLimit = strconv.Itoa(limit), limit
+}
+
+// admit reports whether the endpoint has room for one more request. If it is brittle and has turned too many away, it stops.
+func (ep *Endpoint) admit() (ok, stops bool) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	if ep.opts.Capacity == 0 || ep.running < ep.opts.Capacity {
+		ep.running++
+		return true, false
+	}
+	now := time.Now()
+	ep.turnedAway = append(ep.turnedAway, now)
+	recent := 0
+	for _, at := range ep.turnedAway {
+		if now.Sub(at) < time.Second {
+			recent++
+		}
+	}
+	return false, ep.statements.brittle != "" && recent > ep.brittleLimit
+}
+
+// release frees the room of a request.
+func (ep *Endpoint) release() {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	ep.running--
+}
+
 // TurnAway makes the endpoint turn all further requests away, with the given values of Retry-After in seconds; without a
 // value it serves them again.
 func (ep *Endpoint) TurnAway(retryAfter ...string) {
@@ -58,6 +95,9 @@
 	if len(ep.statements.limits) > 0 {
 		hd["Server-Limit"] = ep.statements.limits
 	}
+	if ep.statements.brittle != "" {
+		hd.Set("Server-Brittle", ep.statements.brittle)
+	}
 	if ep.statements.isLeaving {
 		hd.Set("Server-Leaving", "1")
 	}
