fleet: keep brittle endpoints from turning requests away

What endpoints said: Server-Brittle = N, and they fall over when they have to turn more than N requests away in a second. No host read it.

Change: it is one of the statements of an endpoint, kept with its start and sent to the other hosts with its age. While it holds, an endpoint gets no more requests than it has slots, of all hosts together, and none for a second once a host has used up half of its share of the N rejections; the others are told of that. Every attempt passes this right before it is sent. If all endpoints of a service are so, a request is refused at once with a Retry-After.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -277,7 +277,9 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	if ep := fl.endpoints[id]; ep != nil {
-		ep.rejectingUntil = fl.opts.Clock.Now().Add(d)
+		now := fl.opts.Clock.Now()
+		fl.noteRejection(ep, now)
+		ep.rejectingUntil = now.Add(d)
 		ep.avoidUntil = later(ep.avoidUntil, ep.rejectingUntil)
 	}
 }
--- a/internal/fleet/in_flight.go
+++ b/internal/fleet/in_flight.go
@@ -3,7 +3,8 @@
 import "time"
 
 // Begin counts a request at an endpoint. It returns nil if the endpoint gets no requests any more, or if it
-// is cold or names a limit and this host has used up its share of that rate, or if it wants no requests now.
+// is cold or names a limit and this host has used up its share of that rate, or if it wants no requests now
+// or is brittle and full.
 func (fl *Fleet) Begin(id string, load Load, coldRate float64) *InFlight {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -12,7 +13,7 @@
 		return nil
 	}
 	now := fl.opts.Clock.Now()
-	if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) {
+	if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) || !fl.hasRoom(ep, now) {
 		return nil
 	}
 	if coldRate > 0 && now.Before(ep.coldUntil) &&
--- a/internal/fleet/sample.go
+++ b/internal/fleet/sample.go
@@ -52,7 +52,7 @@
 		if !includes(&ep.entry) || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
 			continue
 		}
-		if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) {
+		if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) || !fl.hasRoom(ep, now) {
 			continue
 		}
 		if now.Before(ep.avoidUntil) || now.Before(ep.loadingUntil) {
--- a/internal/fleet/statement.go
+++ b/internal/fleet/statement.go
@@ -15,6 +15,9 @@
 		HasLimit bool
 		// IsLeaving reports that the endpoint is about to stop.
 		IsLeaving bool
+		// IsBrittle reports that the endpoint falls over when it has to turn away more than Rejections requests in a second.
+		IsBrittle  bool
+		Rejections int
 		// Wait is for how long the endpoint, which turns the request away, wants none from this host; zero if it does not say.
 		Wait time.Duration
 		// Invalid is a field that cannot be used; empty if there is none.
@@ -34,6 +37,12 @@
 		IsLeaving bool
 		// WaitUntil is the time until which the endpoint wants no requests from the host that heard it; zero if it does not say.
 		WaitUntil time.Time
+		// BrittleAsOf is the time from which the endpoint is known to be brittle, or not, as IsBrittle says; the zero time means
+		// that nothing is known. Rejections is how many requests it bears to turn away in a second. HeldUntil is the time until which it gets no requests, after it has turned one away.
+		IsBrittle   bool
+		Rejections  int
+		BrittleAsOf time.Time
+		HeldUntil   time.Time
 	}
 
 	// StatementKind is the kind of a statement.
@@ -64,8 +73,9 @@
 
 	// statements is what is known of an endpoint from what it says of itself.
 	statements struct {
-		limit requestLimit
-		wait  requestWait
+		limit   requestLimit
+		wait    requestWait
+		brittle brittleness
 		// isLeaving is set once the endpoint has said that it is about to stop, and isLeavingHeard if it did so in a response
 		// to this host.
 		isLeaving, isLeavingHeard bool
@@ -81,11 +91,15 @@
 	LeavingStatement
 	// WaitStatement says for how long an endpoint wants no requests from a host.
 	WaitStatement
+	// BrittleStatement says that an endpoint falls over when it has to turn away many requests.
+	BrittleStatement
+
+	statementKinds = iota
 )
 
 // String returns the name of the kind.
 func (sk StatementKind) String() string {
-	return [...]string{LimitStatement: "limit", LeavingStatement: "leaving", WaitStatement: "wait"}[sk]
+	return [...]string{LimitStatement: "limit", LeavingStatement: "leaving", WaitStatement: "wait", BrittleStatement: "brittle"}[sk]
 }
 
 // RecordStatement records what an endpoint says in a response to a request that was sent at sentAt. Only a response to a
@@ -119,6 +133,9 @@
 		// Responses may overtake each other, so that this one tells nothing about the time after sentAt.
 		changes = append(changes, StatementChange{Kind: LimitStatement, AsOf: sentAt, HasEnded: true})
 	}
+	if (st.IsBrittle || hasRun && st.Invalid == "") && ep.said.brittle.set(st.IsBrittle, st.Rejections, sentAtOrNow(st.IsBrittle, sentAt, now), false) {
+		changes = append(changes, StatementChange{Kind: BrittleStatement, AsOf: ep.said.brittle.asOf, HasEnded: !st.IsBrittle})
+	}
 	if st.IsLeaving {
 		if !ep.said.isLeaving {
 			changes = append(changes, StatementChange{Kind: LeavingStatement, AsOf: now})
@@ -164,6 +181,12 @@
 			changes = append(changes, StatementChange{Kind: LimitStatement, PerSecond: li.perSecond, AsOf: li.asOf, HasEnded: li.perSecond == 0})
 		}
 	}
+	if !ps.BrittleAsOf.IsZero() && ep.said.brittle.set(ps.IsBrittle, ps.Rejections, earlier(ps.BrittleAsOf, now), true) {
+		changes = append(changes, StatementChange{Kind: BrittleStatement, AsOf: ep.said.brittle.asOf, HasEnded: !ps.IsBrittle})
+	}
+	if ps.HeldUntil.After(now) {
+		ep.said.brittle.hold(earlier(ps.HeldUntil, now.Add(rejectionHold)))
+	}
 	if ps.IsLeaving && !ep.said.isLeaving {
 		ep.said.isLeaving, ep.entry.Draining = true, true
 		changes = append(changes, StatementChange{Kind: LeavingStatement, AsOf: now})
@@ -203,7 +226,10 @@
 		if until := ep.said.wait.until; now.Before(until) {
 			ps.WaitUntil = until
 		}
-		if ps.IsLeaving || !ps.LimitAsOf.IsZero() || !ps.WaitUntil.IsZero() {
+		if br := ep.said.brittle; br.isPassedOn(now) {
+			ps.IsBrittle, ps.Rejections, ps.BrittleAsOf, ps.HeldUntil = br.isBrittle, br.rejections, br.ownAsOf, br.ownHeldUntil
+		}
+		if ps.IsLeaving || !ps.LimitAsOf.IsZero() || !ps.WaitUntil.IsZero() || !ps.BrittleAsOf.IsZero() {
 			out = append(out, ps)
 		}
 	}
@@ -215,15 +241,16 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
-	counts := make(map[string]*[3]int)
+	counts := make(map[string]*[statementKinds]int)
 	for _, ep := range fl.endpoints {
 		count := counts[ep.entry.Service]
 		if count == nil {
-			count = &[3]int{}
+			count = &[statementKinds]int{}
 			counts[ep.entry.Service] = count
 		}
 		for kind, holds := range [...]bool{
 			LimitStatement: fl.hasLimit(ep, now), LeavingStatement: ep.said.isLeaving, WaitStatement: ep.said.wait.isHeld(now),
+			BrittleStatement: ep.said.brittle.holds(now),
 		} {
 			if holds {
 				count[kind]++
@@ -249,11 +276,14 @@
 		if ep.entry.Service != service || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
 			continue
 		}
-		isHeld := ep.said.wait.isHeld(now)
-		if !isHeld && !fl.hasLimit(ep, now) {
+		isHeld, isFull := ep.said.wait.isHeld(now), !fl.hasRoom(ep, now)
+		if !isHeld && !isFull && !fl.hasLimit(ep, now) {
 			return 0, false
 		}
 		wait := max(0, ep.said.wait.until.Sub(now))
+		if isFull {
+			wait = max(wait, fullRetryAfter, ep.said.brittle.heldUntil.Sub(now))
+		}
 		if fl.hasLimit(ep, now) {
 			wait = max(wait, fl.untilWithinLimit(ep, now))
 		}
--- a/internal/fleet/statement_test.go
+++ b/internal/fleet/statement_test.go
@@ -158,12 +158,14 @@
 		}
 		return out
 	}
-	require.Equal(t, []int{0, 0, 0}, counts())
+	require.Equal(t, []int{0, 0, 0, 0}, counts())
 	recordLimit(fl, "a", 1, 3)
 	fl.RecordStatement("b", 1, fleet.Statement{IsLeaving: true}, ck.Now(), true)
 	fl.RecordStatement("c", 1, fleet.Statement{Wait: time.Second}, ck.Now(), false)
-	require.Equal(t, []int{1, 1, 1}, counts())
+	fl.RecordStatement("b", 1, fleet.Statement{IsBrittle: true, Rejections: 3}, ck.Now(), true)
+	require.Equal(t, []int{1, 1, 1, 1}, counts())
 	ck.Advance(time.Second)
 	recordNoLimit(fl, "a", 1, ck.Now())
-	require.Equal(t, []int{0, 1, 0}, counts())
+	recordNoLimit(fl, "b", 1, ck.Now())
+	require.Equal(t, []int{0, 1, 0, 0}, counts())
 }
--- a/internal/node/statement.go
+++ b/internal/node/statement.go
@@ -28,6 +28,10 @@
 		message = "Endpoint's wait ended."
 	case sc.Kind == fleet.WaitStatement:
 		message, fields["wait-ms"] = "Endpoint asked to wait.", sc.Wait.Milliseconds()
+	case sc.Kind == fleet.BrittleStatement && sc.HasEnded:
+		message = "Endpoint is no longer brittle."
+	case sc.Kind == fleet.BrittleStatement:
+		message = "Endpoint is brittle."
 	case sc.HasEnded:
 		message = "Endpoint's limit ended."
 	default:
@@ -57,6 +61,11 @@
 		if ps.WaitUntil.After(now) {
 			es.WaitUs = ps.WaitUntil.Sub(now).Microseconds()
 		}
+		if !ps.BrittleAsOf.IsZero() {
+			age := now.Sub(ps.BrittleAsOf).Microseconds()
+			es.Rejections = ps.Rejections
+			es.IsBrittle, es.BrittleAgeUs, es.HoldUs = ps.IsBrittle, &age, max(0, ps.HeldUntil.Sub(now).Microseconds())
+		}
 		out = append(out, es)
 	}
 	return out
@@ -69,6 +78,10 @@
 		if es.LimitAgeUs != nil {
 			ps.LimitAsOf = now.Add(-time.Duration(*es.LimitAgeUs) * time.Microsecond)
 		}
+		if es.BrittleAgeUs != nil {
+			ps.IsBrittle, ps.Rejections, ps.BrittleAsOf = es.IsBrittle, es.Rejections, now.Add(-time.Duration(*es.BrittleAgeUs)*time.Microsecond)
+			ps.HeldUntil = now.Add(time.Duration(es.HoldUs) * time.Microsecond)
+		}
 		if es.WaitUs > 0 {
 			ps.WaitUntil = now.Add(time.Duration(es.WaitUs) * time.Microsecond)
 		}
--- a/internal/peering/merge.go
+++ b/internal/peering/merge.go
@@ -89,7 +89,10 @@
 				known.PerSecond, known.LimitAgeUs = es.PerSecond, es.LimitAgeUs
 			}
 			known.IsLeaving = known.IsLeaving || es.IsLeaving
-			known.WaitUs = max(known.WaitUs, es.WaitUs)
+			known.WaitUs, known.HoldUs = max(known.WaitUs, es.WaitUs), max(known.HoldUs, es.HoldUs)
+			if es.BrittleAgeUs != nil && (known.BrittleAgeUs == nil || *es.BrittleAgeUs < *known.BrittleAgeUs) {
+				known.IsBrittle, known.Rejections, known.BrittleAgeUs = es.IsBrittle, es.Rejections, es.BrittleAgeUs
+			}
 			merged[key] = known
 		}
 	}
@@ -104,8 +107,12 @@
 	switch {
 	case es.IsLeaving:
 		return -1
+	case es.HoldUs > 0:
+		return 0
 	case es.LimitAgeUs != nil:
 		return *es.LimitAgeUs
+	case es.BrittleAgeUs != nil:
+		return *es.BrittleAgeUs
 	default:
 		return math.MaxInt64
 	}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -64,6 +64,14 @@
 		IsLeaving bool `json:"v,omitempty"`
 		// WaitUs is the time for which the endpoint wants no more requests from the sender, in microseconds.
 		WaitUs int64 `json:"w,omitempty"`
+		// IsBrittle reports that the endpoint falls over when it has to turn away more than Rejections requests in a second, and
+		// BrittleAgeUs the time since
+		// the response, in microseconds; nil means that nothing is known. HoldUs is the time for which it is to get no requests
+		// after it has turned one away, in microseconds.
+		IsBrittle    bool   `json:"r,omitempty"`
+		Rejections   int    `json:"n,omitempty"`
+		BrittleAgeUs *int64 `json:"g,omitempty"`
+		HoldUs       int64  `json:"h,omitempty"`
 	}
 
 	// CacheStoreState holds the state of a cache store as the aggregator knows it.
