--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -22,6 +22,8 @@
 	// pollInterval is a tenth of the time after which a watch looks for expired leases again.
 	pollInterval = 5 * time.Millisecond
 	itemsPerPage = 100
+	// bytesPerPage is the number of bytes of values in one response to a list call, unless a single item has more.
+	bytesPerPage = 1 << 20
 )
 
 type (
@@ -303,10 +305,12 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	hasMore := len(items) > itemsPerPage
-	writeJSON(w, http.StatusOK, map[string]any{
-		"items": items[:min(len(items), itemsPerPage)], "morePages": hasMore, "storeRevision": st.revision,
-	})
+	count, size := 0, 0
+	for count < min(len(items), itemsPerPage) && (count == 0 || size+len(items[count].Value) <= bytesPerPage) {
+		size += len(items[count].Value)
+		count++
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": items[:count], "morePages": count < len(items), "storeRevision": st.revision})
 }
 
 // handleWatch waits for events after a revision. It responds with status 410 if the history has been
