fleet: count software versions instead of walking all endpoints

Whether a service has one software version is asked for each stream that may be resumed. The host now notices a version that changes in an entry, too.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,8 @@
 		// hostsVersion counts the changes of hosts.
 		hostsVersion int
 		evacuated    map[string]bool
+		// software counts the endpoints of each service by software version.
+		software map[serviceVersion]int
 		// reach holds the services of which an attempt has ended without a response since the last response, by name.
 		reach map[string]*reach
 		// departed holds the endpoints whose entries disappeared lately, by identifier.
@@ -70,6 +72,9 @@
 		storeRegainedAt time.Time
 	}
 
+	// serviceVersion is a software version of a service.
+	serviceVersion struct{ service, version string }
+
 	// InFlight is one in-flight request at an endpoint.
 	InFlight struct {
 		fl        *Fleet
@@ -109,11 +114,12 @@
 		evacuated: make(map[string]bool),
 		departed:  make(map[string]departure),
 		reach:     make(map[string]*reach),
+		software:  make(map[serviceVersion]int),
 	}
 }
 
 // Put records the entry of an endpoint. It reports whether the endpoint is new or has restarted, or its
-// draining state or the versions of its weights have changed.
+// draining state, its software version or the versions of its weights have changed.
 func (fl *Fleet) Put(en Entry) bool {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
@@ -204,14 +210,20 @@
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	out := make(map[string][]string)
-	for _, ep := range fl.endpoints {
-		if versions := out[ep.entry.Service]; !slices.Contains(versions, ep.entry.SoftwareVersion) {
-			out[ep.entry.Service] = append(versions, ep.entry.SoftwareVersion)
-		}
+	for sv := range fl.software {
+		out[sv.service] = append(out[sv.service], sv.version)
 	}
 	return out
 }
 
+// countSoftware adds delta to the number of endpoints with the software version of an entry.
+func (fl *Fleet) countSoftware(en Entry, delta int) {
+	sv := serviceVersion{en.Service, en.SoftwareVersion}
+	if fl.software[sv] += delta; fl.software[sv] == 0 {
+		delete(fl.software, sv)
+	}
+}
+
 // Views returns the endpoints of a service that may get requests, sorted by identifier: those that are not
 // draining, expired or in an evacuated zone.
 func (fl *Fleet) Views(service string) []View {
@@ -306,13 +318,17 @@
 func (fl *Fleet) put(en Entry, now time.Time) bool {
 	ep := fl.endpoints[en.ID]
 	isNew := ep == nil || !ep.entry.sameStart(en)
+	if ep != nil {
+		fl.countSoftware(ep.entry, -1)
+	}
+	fl.countSoftware(en, 1)
 	if isNew {
 		ep = &endpoint{hash: rendezvous.Hash(en.ID), said: fl.takeDeparted(en, now)}
 		fl.endpoints[en.ID] = ep
 	}
 	// Draining is final: an older entry that arrives late must not undo it.
 	en.Draining = en.Draining || ep.entry.Draining || ep.said.isLeaving
-	changed := isNew || ep.entry.Draining != en.Draining || !maps.Equal(ep.entry.Models, en.Models)
+	changed := isNew || ep.entry.Draining != en.Draining || ep.entry.SoftwareVersion != en.SoftwareVersion || !maps.Equal(ep.entry.Models, en.Models)
 	if en.Draining && !ep.entry.Draining {
 		ep.drainingSince = now
 	}
--- a/internal/fleet/retention.go
+++ b/internal/fleet/retention.go
@@ -100,6 +100,7 @@
 // delete deletes an endpoint, and keeps its identity and what it said of itself in case its entry returns.
 func (fl *Fleet) delete(id string, ep *endpoint, now time.Time) {
 	delete(fl.endpoints, id)
+	fl.countSoftware(ep.entry, -1)
 	for other, de := range fl.departed {
 		if !de.isRetained(now) {
 			delete(fl.departed, other)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -164,6 +164,7 @@
 	} else {
 		ss.fleet.Replace(entries)
 	}
+	ss.releases.NotifyChanged()
 	ss.evacuated = evacuated
 	ss.fleet.SetEvacuatedZones(evacuated)
 	ss.setHosts(hosts)
