gateway, node: refuse what cannot end before a planned stop does

TestPlannedStopCutsNoRequestThatRuns/long failed before.

From the beginning of its stop a host refuses, as not run, requests that may not be repeated and whose response is expected to last longer than the host, by the estimate of the placement for as many tokens as the request may generate.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -169,9 +169,23 @@
 		fw.refuseOverdue(pl, remaining, lastErr)
 		return stepDone, nil
 	}
+	if fw.outlastsHost(pl) {
+		fw.refuse("stopping", lastErr)
+		return stepDone, nil
+	}
 	return fw.tryEndpoint(ctx, clientCtx, pl)
 }
 
+// outlastsHost reports whether the host is expected to stop before the response of a request that may not be repeated ends.
+func (fw *forwarder) outlastsHost(pl plan) bool {
+	stopAt := fw.gw.stopAt.Load()
+	if stopAt == nil || fw.headerWritten || fw.rq.route.IsRepeatable() {
+		return false
+	}
+	now := fw.gw.opts.Clock.Now()
+	return now.Add(min(pl.expectedDuration, fw.rq.deadline.Sub(now))).After(*stopAt)
+}
+
 // tryEndpoint sends the request to one endpoint and relays its response, if any, to the client.
 func (fw *forwarder) tryEndpoint(ctx, clientCtx context.Context, pl plan) (nextStep, error) {
 	gw, rq := fw.gw, fw.rq
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -91,7 +91,9 @@
 		catalog            atomic.Pointer[catalog.Catalog]
 		keepAlivesDisabled atomic.Bool
 		refusingNew        atomic.Bool
-		inFlight           atomic.Int64
+		// stopAt is the time at which a stopping host cuts its requests; nil while it does not stop.
+		stopAt   atomic.Pointer[time.Time]
+		inFlight atomic.Int64
 		// relayed is the number of requests of other hosts in flight.
 		relayed    atomic.Int64
 		bodyBudget bodyBudget
@@ -129,6 +131,10 @@
 // DisableKeepAlives disables keep-alive: from now on each response closes its connection.
 func (gw *Gateway) DisableKeepAlives() { gw.keepAlivesDisabled.Store(true) }
 
+// StopAt states that the host stops, and cuts the requests that are still in flight at the given time. From now on it refuses
+// those that may not be repeated and are expected to take longer.
+func (gw *Gateway) StopAt(deadline time.Time) { gw.stopAt.Store(&deadline) }
+
 // RefuseNewRequests refuses new requests from now on. Requests in flight continue.
 func (gw *Gateway) RefuseNewRequests() { gw.refusingNew.Store(true) }
 
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -43,16 +43,18 @@
 
 // plan is the chosen endpoint of one attempt, with the estimates and the options of the request to it.
 type plan struct {
-	view          fleet.View
-	load          fleet.Load
-	delivery      DeliveryOptions
-	expectedTTFT  time.Duration
-	candidates    int
-	prefillTokens int
-	fetchTime     time.Duration
-	sources       []source
-	sentAt        time.Time
-	ttft          time.Duration
+	view         fleet.View
+	load         fleet.Load
+	delivery     DeliveryOptions
+	expectedTTFT time.Duration
+	// expectedDuration is the time to the last token of a response that is as long as it may be.
+	expectedDuration time.Duration
+	candidates       int
+	prefillTokens    int
+	fetchTime        time.Duration
+	sources          []source
+	sentAt           time.Time
+	ttft             time.Duration
 }
 
 // source is a cache store from which a part is fetched. NominalTime is the time of the transfer by the
@@ -111,13 +113,14 @@
 	}
 	ca := cands[ch.Index]
 	pl = plan{
-		view:          ca.View,
-		load:          fleet.Load{Requests: 1, Tokens: job.MemoryTokens, PrefillTokens: ca.PrefillTokens},
-		expectedTTFT:  ch.FirstTokenEstimate,
-		candidates:    len(cands),
-		prefillTokens: ca.PrefillTokens,
-		fetchTime:     ca.FetchTime,
-		delivery:      DeliveryOptions{Instance: ca.ID, Remaining: remaining, Urgency: rq.urgency(), WeightVersion: fw.pinnedVersion},
+		view:             ca.View,
+		load:             fleet.Load{Requests: 1, Tokens: job.MemoryTokens, PrefillTokens: ca.PrefillTokens},
+		expectedTTFT:     ch.FirstTokenEstimate,
+		expectedDuration: ch.DurationEstimate,
+		candidates:       len(cands),
+		prefillTokens:    ca.PrefillTokens,
+		fetchTime:        ca.FetchTime,
+		delivery:         DeliveryOptions{Instance: ca.ID, Remaining: remaining, Urgency: rq.urgency(), WeightVersion: fw.pinnedVersion},
 	}
 	if rq.team != nil {
 		pl.delivery.Team = rq.team.Name
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -332,6 +332,7 @@
 	endLeading()
 	no.log.WithField("active", no.gateway.InFlight()).Info("Host is stopping.")
 	deadline := no.ck.Now().Add(time.Duration(no.settings().Bounds.StopMs)*time.Millisecond - stopMargin)
+	no.gateway.StopAt(deadline)
 	<-no.ck.After(stopAcceptTime)
 	no.gateway.RefuseNewRequests()
 	<-no.ck.After(stopListenTime - stopAcceptTime)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -109,6 +109,8 @@
 		Index int
 		// FirstTokenEstimate is the expected time to first token.
 		FirstTokenEstimate time.Duration
+		// DurationEstimate is the expected time to the last token, if the request generates as many as it may.
+		DurationEstimate time.Duration
 	}
 )
 
@@ -137,7 +139,9 @@
 		}
 		if !ok || rank < bestRank || (rank == bestRank && cost < bestCost) {
 			bestCost, bestRank, ok = cost, rank, true
-			ch = Choice{Index: i, FirstTokenEstimate: time.Duration(wait * float64(time.Millisecond))}
+			load := ca.TotalLoad()
+			step := stepMs(load.Requests, float64(load.PrefillTokens+ca.PrefillTokens))
+			ch = Choice{Index: i, FirstTokenEstimate: toDuration(wait), DurationEstimate: toDuration(wait + float64(job.OutputTokens)*step)}
 		}
 	}
 	return ch, ok
@@ -182,6 +186,14 @@
 	return math.Pow(min(share, 1), slotWaitExponent) + slotExcessFactor*max(0, share-1)
 }
 
+// stepMs returns the time of one decode step of an engine with the given requests, in milliseconds. During a prefill, each step
+// also prefills a whole chunk of a prompt.
+func stepMs(requests int, prefillTokens float64) float64 {
+	return stepBaseMs + stepPerRequestMs*float64(requests) + stepPrefillMs*min(1, prefillTokens/saturatingPrefillTokens)
+}
+
+func toDuration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 // cost returns the cost of a candidate and the part of it that the client waits, both in milliseconds.
 func (job Job) cost(ca *Candidate, version uint64) (cost, wait float64) {
 	load := ca.TotalLoad()
@@ -198,9 +210,7 @@
 		if ca.Slots > 0 {
 			wait += lastSlotWaitMs * slotWaitFactor(float64(load.Requests+1)/float64(ca.Slots))
 		}
-		// During a prefill, each decode step also prefills a whole chunk of a prompt.
-		step := stepBaseMs + stepPerRequestMs*float64(load.Requests) + stepPrefillMs*min(1, prefillTokens/saturatingPrefillTokens)
-		duration := wait + float64(job.OutputTokens)*step
+		duration := wait + float64(job.OutputTokens)*stepMs(load.Requests, prefillTokens)
 		cost = wait + memoryCostWeight*usedShare*duration*float64(job.MemoryTokens)/capacity
 		if version < job.Version {
 			cost += oldWeightsPenaltyMs
