load: two software versions, and clients that take up broken streams, in the soak

Half of the engines have another software version. A client whose resumable stream breaks off takes it up at any host, up to three times, and every event must come from the version that wrote the first one.

--- a/programs/load/soak/checker.go
+++ b/programs/load/soak/checker.go
@@ -20,6 +20,8 @@
 	requestTimeout = 5 * time.Second
 	// maxFindings bounds the number of findings in the report.
 	maxFindings = 20
+	// maxTakeUps is how often a client takes up a stream that breaks off.
+	maxTakeUps = 3
 )
 
 type (
@@ -68,7 +70,11 @@
 	routes := []string{"pay", "look", "note", "query"}
 	for ctx.Err() == nil {
 		ho := ch.testbed.hosts[rd.Intn(len(ch.testbed.hosts))]
-		ch.send(tr, ho, routes[rd.Intn(len(routes))], rd.Intn(20) == 0)
+		route := routes[rd.Intn(len(routes))]
+		id, re := ch.send(tr, ho, route, rd.Intn(20) == 0)
+		if route == "query" && !re.complete {
+			ch.takeUp(tr, rd, id, re.body)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(clientPause):
@@ -77,11 +83,8 @@
 }
 
 // send sends one request to a host and checks the response. With disconnects, the client gives up after 60 ms.
-func (ch *checker) send(tr *http.Transport, ho *process, route string, disconnects bool) result {
-	ch.mu.Lock()
-	ch.requestCount++
-	id := fmt.Sprintf("soak-%d", ch.requestCount)
-	ch.mu.Unlock()
+func (ch *checker) send(tr *http.Transport, ho *process, route string, disconnects bool) (id string, re result) {
+	id = ch.nextID()
 	timeout := requestTimeout
 	if disconnects {
 		timeout = 60 * time.Millisecond
@@ -98,13 +101,68 @@
 		rq.Model = site.Model
 	}
 	rp := site.Send(ctx, tr, ho.listenAddress, rq)
-	re := result{route: route, status: rp.Status, body: rp.Body, sealed: rp.Sealed(), complete: rp.Complete}
+	re = result{route: route, status: rp.Status, body: rp.Body, sealed: rp.Sealed(), complete: rp.Complete}
 	ch.mu.Lock()
 	ch.results[id] = re
 	ch.statusCounts[fmt.Sprint(re.status)]++
 	ch.mu.Unlock()
 	ch.checkResponse(id, re)
-	return re
+	return id, re
+}
+
+func (ch *checker) nextID() string {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.requestCount++
+	return fmt.Sprintf("soak-%d", ch.requestCount)
+}
+
+// takeUp resumes a stream that broke off, at any host, until it is complete or several tries have failed. All of its events must
+// come from the software version that wrote the first one.
+func (ch *checker) takeUp(tr *http.Transport, rd *rand.Rand, firstID, received string) {
+	events := strings.Count(received, "\n\n")
+	if events == 0 {
+		return
+	}
+	software := softwareOf(received)
+	for range maxTakeUps {
+		id := ch.nextID()
+		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+		ho := ch.testbed.hosts[rd.Intn(len(ch.testbed.hosts))]
+		rp := site.Send(ctx, tr, ho.listenAddress, site.Request{
+			ID: id, Method: http.MethodPost, URI: "/query/1", Body: bytes.Repeat([]byte("b"), 3000), Timeout: routeTimeout, Model: site.Model,
+			Header: map[string]string{"Last-Event-Id": fmt.Sprint(events), "Resumes": firstID},
+		})
+		cancel()
+		ch.mu.Lock()
+		ch.results[id] = result{route: "query", status: rp.Status, body: rp.Body}
+		ch.statusCounts[fmt.Sprint("taken up ", rp.Status)]++
+		ch.mu.Unlock()
+		if rp.Status != http.StatusOK {
+			continue
+		}
+		if got := softwareOf(rp.Body); len(got) > 0 && !slices.Equal(got, software) {
+			ch.addFinding("query %s: began at %v and goes on at %v as %s", firstID, software, got, id)
+		}
+		if !strings.HasPrefix(rp.Body, fmt.Sprintf("id: %d\n", events+1)) && rp.Body != "" {
+			ch.addFinding("query %s: goes on after event %d with %q", firstID, events, rp.Body)
+		}
+		if events += strings.Count(rp.Body, "\n\n"); rp.Complete {
+			return
+		}
+	}
+}
+
+// softwareOf returns the software versions that wrote the events of a text, sorted.
+func softwareOf(text string) []string {
+	var out []string
+	for _, line := range strings.Split(text, "\n") {
+		if _, version, ok := strings.Cut(line, " of "); ok && strings.HasPrefix(line, "data: ") && !slices.Contains(out, version) {
+			out = append(out, version)
+		}
+	}
+	slices.Sort(out)
+	return out
 }
 
 // checkResponse checks that a successful response is confirmed by the endpoint and has the expected body, or a
@@ -122,14 +180,19 @@
 		}
 		return
 	}
-	var want strings.Builder
-	for i := range streamEvents {
-		fmt.Fprintf(&want, "id: %d\ndata: %s event %d\n\n", i+1, id, i+1)
+	isWhole, isPrefix := re.body == "body of "+id, strings.HasPrefix("body of "+id, re.body)
+	for _, software := range softwareVersions {
+		var want strings.Builder
+		for i := range streamEvents {
+			fmt.Fprintf(&want, "id: %d\ndata: %s event %d of %s\n\n", i+1, id, i+1, software)
+		}
+		isWhole = isWhole || re.body == want.String()
+		isPrefix = isPrefix || strings.HasPrefix(want.String(), re.body)
 	}
-	if re.complete && re.body != want.String() && re.body != "body of "+id {
+	if re.complete && !isWhole {
 		ch.addFinding("%s %s: a complete stream is %q", re.route, id, re.body)
 	}
-	if !strings.HasPrefix(want.String(), re.body) && !strings.HasPrefix("body of "+id, re.body) {
+	if !isPrefix {
 		ch.addFinding("%s %s: a stream began with %q", re.route, id, re.body)
 	}
 }
@@ -145,7 +208,7 @@
 	for _, ho := range ch.testbed.hosts {
 		for _, route := range []string{"pay", "look", "note", "query"} {
 			for {
-				if re := ch.send(tr, ho, route, false); re.status == http.StatusOK && re.complete {
+				if _, re := ch.send(tr, ho, route, false); re.status == http.StatusOK && re.complete {
 					break
 				} else if time.Now().After(deadline) {
 					return fmt.Errorf("%s answers %s with %d", ho.name, route, re.status)
--- a/programs/load/soak/testbed.go
+++ b/programs/load/soak/testbed.go
@@ -54,6 +54,9 @@
 	return tb, nil
 }
 
+// softwareVersions are the versions of the engines' software; half of the engines have each.
+var softwareVersions = [2]string{"v1", "v2"}
+
 // build starts the stand-ins, the proxies and the hosts, and waits until the hosts are ready.
 func (tb *testbed) build(ctx context.Context, dir string) error {
 	var err error
@@ -62,7 +65,7 @@
 	}
 	for i := range 4 {
 		if err = tb.addEndpoint(&tb.engines, site.EndpointOptions{
-			ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "here", Model: site.Model, EventCount: streamEvents, EventInterval: 20 * time.Millisecond,
+			ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "here", Model: site.Model, SoftwareVersion: softwareVersions[i%2], EventCount: streamEvents, EventInterval: 20 * time.Millisecond,
 		}); err != nil {
 			return err
 		}
