--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -16,7 +16,7 @@
 		Listen string `json:"listen" check:"required ip-port"`
 		// ReadyListen is the address of the readiness probe.
 		ReadyListen string `json:"ready-listen" check:"required ip-port"`
-		// PeerListen is the address for datagrams from other hosts.
+		// PeerListen is the address for datagrams and requests from other hosts.
 		PeerListen string `json:"peer-listen" check:"required ip-port"`
 		// MetricsListen is the address for metrics; empty disables them.
 		MetricsListen string `json:"metrics-listen" check:"ip-port"`
