gateway: ask up to six neighbours while those asked are cut off as well

With most hosts of a large fleet cut off, two neighbours chosen at random are mostly cut off, too. Those answer at once, so they don't count.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -20,12 +20,14 @@
 	headerNotRun = "Bergamotway-Not-Run"
 	// headerUnserved is the header of a refusal that holds for the whole service: the host can't serve any request for it.
 	headerUnserved = "Bergamotway-Unserved"
-	// maxNeighbours is the number of neighbours that are tried for a request.
-	maxNeighbours = 2
+	// maxNeighbours is the number of neighbours that are tried for a request. Those that reach no endpoint either answer at once
+	// and don't count, up to maxNeighbourTries in all.
+	maxNeighbours     = 2
+	maxNeighbourTries = 6
 	// silentBeforeRelay is the number of silent endpoints after which a request takes the way through a neighbour.
 	silentBeforeRelay = 2
 	// unservedAvoidance and downAvoidance are how long a neighbour is avoided that can't serve a service, or can't be reached.
-	unservedAvoidance = time.Second
+	unservedAvoidance = 2 * time.Second
 	downAvoidance     = 2 * time.Second
 	// maxRelayed bounds the requests of other hosts that a host has in flight. Beyond that its own clients would wait.
 	maxRelayed = 256
@@ -80,9 +82,10 @@
 	gw, rq := fw.gw, fw.rq
 	fw.hasTriedNeighbours = true
 	var lastErr error = errNoNeighbour
-	for _, ho := range gw.opts.Neighbours.Choose(rq.ID, rq.service.Name, maxNeighbours) {
+	tried := 0
+	for _, ho := range gw.opts.Neighbours.Choose(rq.ID, rq.service.Name, maxNeighbourTries) {
 		remaining := rq.deadline.Sub(gw.opts.Clock.Now())
-		if remaining < minAttemptTime || clientCtx.Err() != nil {
+		if remaining < minAttemptTime || clientCtx.Err() != nil || tried == maxNeighbours {
 			break
 		}
 		step, isOver, err := fw.tryNeighbour(ctx, clientCtx, ho, remaining)
@@ -90,6 +93,10 @@
 			return step, err
 		}
 		lastErr = err
+		var unserved *unservedError
+		if !errors.As(err, &unserved) {
+			tried++
+		}
 	}
 	if fw.refusal != nil {
 		fw.passOnRefusal()
@@ -149,10 +156,11 @@
 
 // handleNeighbourRefusal handles a refusal of a neighbour, which has not forwarded the request.
 func (fw *forwarder) handleNeighbourRefusal(rs *attempt.Response, pl plan) error {
+	var err error = &StatusError{status: rs.Status}
 	if rs.Header.Get(headerUnserved) != "" {
 		fw.gw.opts.Neighbours.Avoid(pl.view.ID, fw.rq.service.Name, unservedAvoidance)
+		err = &unservedError{host: pl.view.ID}
 	}
-	err := &StatusError{status: rs.Status}
 	fw.recordFailedAttempt(pl, "neighbour-refused", err)
 	if text := rs.Header.Get("Retry-After"); text != "" && rs.Status == http.StatusServiceUnavailable {
 		fw.refusal = &neighbourRefusal{retryAfter: text, cause: err}
@@ -161,6 +169,14 @@
 	return err
 }
 
+// unservedError reports a neighbour that reaches no endpoint of the service either.
+type unservedError struct{ host string }
+
+// Error returns a message with the name of the host.
+func (e *unservedError) Error() string {
+	return "gateway: host " + e.host + " reaches no endpoint of the service either"
+}
+
 // neighbourRefusal is a refusal that says when the client may come back.
 type neighbourRefusal struct {
 	retryAfter string
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -54,3 +54,33 @@
 	ck.Advance(time.Second)
 	require.Len(t, ne.Choose("a", "engines", 2), 2)
 }
+
+// Plays hosts of which a share is cut off: a neighbour that is cut off as well says so and is left out for two seconds.
+func TestMostRequestsFindNeighbourThatServes(t *testing.T) {
+	t.Parallel()
+	const tries, perSecond, seconds = 6, 20, 4
+	for _, hosts := range []int{7, 75, 300} {
+		for _, cutShare := range []float64{0.3, 0.6, 0.8} {
+			ne, ck := newNeighbours(hosts - 1)
+			cut := int(cutShare * float64(hosts))
+			served, asked := 0, 0
+			for i := range perSecond * seconds {
+				for _, ho := range ne.Choose(fmt.Sprint("request-", i), "engines", tries) {
+					asked++
+					var number int
+					_, err := fmt.Sscanf(ho.Name, "host-%d", &number)
+					require.NoError(t, err)
+					// The host itself is one of those that are cut off.
+					if number >= cut-1 {
+						served++
+						break
+					}
+					ne.Avoid(ho.Name, "engines", 2*time.Second)
+				}
+				ck.Advance(time.Second / perSecond)
+			}
+			t.Logf("%d hosts, %.1f cut off: %d of %d served, %.2f asked for each", hosts, cutShare, served, perSecond*seconds, float64(asked)/(perSecond*seconds))
+			require.GreaterOrEqual(t, 3*served, 2*perSecond*seconds, "%d hosts, %.1f cut off", hosts, cutShare)
+		}
+	}
+}
