--- a/internal/node/cut_test.go
+++ b/internal/node/cut_test.go
@@ -22,6 +22,8 @@
 	// cutDialer is the link between one host and the endpoints.
 	cutDialer struct {
 		mode atomic.Int32
+		// opened counts the connections that were opened.
+		opened atomic.Int64
 
 		mu    sync.Mutex
 		conns map[*cutConn]bool
@@ -91,6 +93,7 @@
 	if !ok {
 		return nil, net.UnknownNetworkError(network)
 	}
+	cd.opened.Add(1)
 	cn := &cutConn{TCPConn: tc, link: cd}
 	cd.mu.Lock()
 	defer cd.mu.Unlock()
