--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,72 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/attempt"
+	"github.com/bergamotway/bergamotway/internal/catalog"
+	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/gateway"
+	"github.com/bergamotway/bergamotway/internal/relay"
+	"github.com/bergamotway/bergamotway/internal/retry"
+)
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	return ln.Addr().String()
+}
+
+// Guards against requests that hosts without a way to the endpoints pass on in a circle.
+func TestRelayedRequestIsNotPassedOnAgain(t *testing.T) {
+	t.Parallel()
+	neighbour := startKeptEndpoint(t, "HTTP/1.1 200 OK\r\n"+sealedHeader+"Content-Length: 2\r\n\r\nok")
+	ck := clock.System()
+	fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+	opts := gatewayOptions(ck, fl)
+	opts.Budget = retry.NewWindowBudget(ck, retry.Limits{Window: time.Second, Slack: 1000})
+	opts.Neighbours, opts.RelayPool = relay.New(ck), attempt.NewPool(attempt.Options{})
+	address, err := netip.ParseAddrPort(neighbour.listener.Addr().String())
+	require.NoError(t, err)
+	opts.Neighbours.SetHosts([]relay.Host{{Name: "other", Address: address}})
+	gw := gateway.New(opts)
+	gw.Configure(catalog.New(catalog.Spec{
+		Version: 1, Routes: []catalog.Route{{
+			Name: "pay", Host: "shop.example", Prefix: "/", MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "desk"}},
+		}},
+		Services: []catalog.Service{{Name: "desk"}},
+	}))
+	for i := range 6 {
+		fl.Put(fleet.Entry{ID: fmt.Sprint("endpoint-", i), Service: "desk", Address: closedAddress(t), Zone: "here", Slots: 8})
+	}
+	serve := func(handler http.Handler, attempts string) *httptest.ResponseRecorder {
+		hr := httptest.NewRequest(http.MethodPost, "/", nil)
+		hr.Host = "shop.example"
+		hr.Header.Set("X-Request-Id", "a")
+		hr.Header.Set("Bergamotway-Attempts", attempts)
+		rr := httptest.NewRecorder()
+		handler.ServeHTTP(rr, hr)
+		return rr
+	}
+	rr := serve(gw.RelayHandler(), "0")
+	require.Equal(t, http.StatusServiceUnavailable, rr.Code)
+	require.NotEmpty(t, rr.Header().Get("Bergamotway-Not-Run"))
+	require.Zero(t, neighbour.read.Load())
+	for _, attempts := range []string{"", "-1", "many"} {
+		require.Equal(t, http.StatusBadRequest, serve(gw.RelayHandler(), attempts).Code)
+	}
+	rr = serve(gw, "")
+	require.Equal(t, http.StatusOK, rr.Code)
+	require.Equal(t, int64(1), neighbour.read.Load())
+}
