--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -23,9 +23,6 @@
 	// defaultDialTimeout is far above the round trip between zones, and short enough to try another
 	// endpoint in time if one does not respond.
 	defaultDialTimeout = 300 * time.Millisecond
-	// unacknowledgedTimeout bounds how long sent bytes may stay unacknowledged. It is long enough for two
-	// consecutive lost packets.
-	unacknowledgedTimeout = 900 * time.Millisecond
 	// idleTimeoutMargin is how long before the endpoint's own idle timeout a connection ceases to be reused.
 	idleTimeoutMargin = time.Second
 	// maxIdleTime bounds the idle time of a connection, also if the endpoint announces no timeout.
@@ -37,17 +34,9 @@
 	// maxHeaderBytes bounds the header of a response together with the interim responses before it. An
 	// endpoint in trouble may send a header without end.
 	maxHeaderBytes = 64 << 10
-	// probeTimeout bounds the check whether an endpoint still listens. It is far above the round trip
-	// between zones.
-	probeTimeout = 100 * time.Millisecond
 )
 
 type (
-	// Dialer opens connections.
-	Dialer interface {
-		DialContext(ctx context.Context, network, address string) (net.Conn, error)
-	}
-
 	// Options configures a Pool. The zero value is usable.
 	Options struct {
 		// DialTimeout is the timeout for opening a connection; zero means 300 ms.
@@ -281,30 +270,6 @@
 	tc.idle = nil
 }
 
-// RefusesConnections reports whether the target refuses connections because nothing listens there any more.
-// The check takes at most 100 ms; a target that does not respond in time counts as listening.
-func (po *Pool) RefusesConnections(ctx context.Context, target Target) bool {
-	return errors.Is(po.probe(ctx, target), syscall.ECONNREFUSED)
-}
-
-// Accepts reports whether the target accepts a connection within 100 ms.
-func (po *Pool) Accepts(ctx context.Context, target Target) bool { return po.probe(ctx, target) == nil }
-
-// probe opens a connection and closes it.
-func (po *Pool) probe(ctx context.Context, target Target) error {
-	raw, err := po.dial(ctx, target, min(probeTimeout, po.opts.DialTimeout))
-	if err == nil {
-		closeConn(raw)
-	}
-	return err
-}
-
-func (po *Pool) dial(ctx context.Context, target Target, timeout time.Duration) (net.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return po.opts.Dialer.DialContext(ctx, "tcp", target.Address)
-}
-
 // CloseIdleExcept closes the idle connections to all targets for which keep returns false.
 func (po *Pool) CloseIdleExcept(keep func(Target) bool) {
 	po.mu.Lock()
@@ -438,13 +403,3 @@
 	}
 	return maxIdleTime
 }
-
-// setUserTimeout sets the timeout for unacknowledged bytes on a new socket.
-func setUserTimeout(_, _ string, rc syscall.RawConn) error {
-	// The value of TCP_USER_TIMEOUT, which package syscall does not define.
-	const tcpUserTimeout = 18
-	return rc.Control(func(fd uintptr) {
-		// Without the option only the deadline of the request detects a peer that stopped responding.
-		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledgedTimeout.Milliseconds()))
-	})
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,14 +55,6 @@
 	// a second time while it is forwarded.
 	bodyMemoryShare = 0.2
 	mebibyte        = 1 << 20
-	// stopMargin is how long before the end of Bounds.StopMs the process exits by itself.
-	stopMargin = 400 * time.Millisecond
-	// stopAcceptTime is how long a stopping host still serves new requests; long requests that arrive
-	// later could not finish in time. From then until stopListenTime after the stop began, it still
-	// accepts connections and refuses their requests. By then two readiness probes, a second apart, have
-	// taken it out of rotation.
-	stopAcceptTime = 2600 * time.Millisecond
-	stopListenTime = 3400 * time.Millisecond
 	// peerLoadingTTL is how long a peer's report that an engine is loading weights is valid.
 	peerLoadingTTL = 600 * time.Millisecond
 	// connectionSweepInterval is the pause between two sweeps of connections to endpoints.
@@ -324,29 +316,6 @@
 // ReadyAddress returns the address of the readiness probe.
 func (no *Node) ReadyAddress() string { return no.readyListener.Addr().String() }
 
-// stop takes the host out of rotation and waits for the requests in flight, until stopMargin before the end of
-// Bounds.StopMs.
-func (no *Node) stop(endLeading func(), servers ...*http.Server) {
-	no.stopping.Store(true)
-	no.gateway.DisableKeepAlives()
-	endLeading()
-	no.log.WithField("active", no.gateway.InFlight()).Info("Host is stopping.")
-	deadline := no.ck.Now().Add(time.Duration(no.settings().Bounds.StopMs)*time.Millisecond - stopMargin)
-	no.gateway.StopAt(deadline)
-	<-no.ck.After(stopAcceptTime)
-	no.gateway.RefuseNewRequests()
-	<-no.ck.After(stopListenTime - stopAcceptTime)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
-	var eg errgroup.Group
-	for _, se := range servers {
-		eg.Go(func() error { return se.Shutdown(ctx) })
-	}
-	if err := eg.Wait(); err != nil {
-		no.log.WithFields(logrus.Fields{"active": no.gateway.InFlight(), "cause": err.Error()}).Warn("Stop cut requests.")
-	}
-}
-
 func (no *Node) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if no.stopping.Load() || no.gateway.Catalog() == nil || !no.fleet.IsSynced() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -10,7 +10,6 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -292,30 +291,6 @@
 	ex.peers, ex.zone = peers, newZoneRanking(ex.self, peers)
 }
 
-// HandleMessages sets the function that receives the messages of other hosts. It is called from the goroutine that reads
-// datagrams, and must not keep the data.
-func (ex *Exchange) HandleMessages(handle func(data []byte)) {
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	ex.handleMessage = handle
-}
-
-// SendMessage sends a message to another host by its name, apart from the digests. It may be lost, and is dropped if the
-// host is not known.
-func (ex *Exchange) SendMessage(host string, data []byte) {
-	ex.mu.Lock()
-	i := slices.IndexFunc(ex.peers, func(pe Peer) bool { return pe.Name == host })
-	var address netip.AddrPort
-	if i >= 0 {
-		address = ex.peers[i].Address
-	}
-	ex.mu.Unlock()
-	if i >= 0 {
-		// The sender does not rely on it.
-		_, _ = ex.conn.WriteToUDPAddrPort(append([]byte{messageMark}, data...), address)
-	}
-}
-
 // Run sends the host's digests to the peers and passes the peers' digests to the host, until ctx ends.
 // Lost datagrams are not resent, since the next one replaces them.
 func (ex *Exchange) Run(ctx context.Context, delegate Delegate) error {
@@ -335,12 +310,7 @@
 			continue
 		}
 		if n > 0 && buf[0] == messageMark {
-			ex.mu.Lock()
-			handle := ex.handleMessage
-			ex.mu.Unlock()
-			if handle != nil {
-				handle(buf[1:n])
-			}
+			ex.deliverMessage(buf[1:n])
 			continue
 		}
 		dg, err := DecodeDigest(buf[:n])
