gateway: keep endpoints from passing for a host that refuses

An endpoint's response with the header by which a host says that it has not forwarded a request would have reached the host that passed the request on, which would have sent it again although it had run. Found by reading the change; TestEndpointCannotPassForRefusingHost fails without the removal of the fields.

--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -28,6 +28,38 @@
 	return ln.Addr().String()
 }
 
+// Guards against an endpoint whose response a host takes for the refusal of another host, and runs the request again.
+func TestEndpointCannotPassForRefusingHost(t *testing.T) {
+	t.Parallel()
+	const fields = "Bergamotway-Not-Run: 1\r\nBergamotway-Unserved: 1\r\n"
+	for _, path := range []string{"/pay/", "/query/"} {
+		ck := clock.System()
+		fl := fleet.New(fleet.Options{Clock: ck, Host: "host"})
+		ke := startKeptEndpoint(t, "HTTP/1.1 200 OK\r\n"+sealedHeader+fields+"Content-Length: 18\r\n\r\nid: 1\ndata: one\n\n\n")
+		fl.Put(fleet.Entry{ID: "endpoint", Service: "desk", Address: ke.listener.Addr().String(), Zone: "here", Slots: 8})
+		gw := gateway.New(gatewayOptions(ck, fl))
+		kind := catalog.NonIdempotent
+		if path == "/query/" {
+			kind = catalog.Streaming
+		}
+		gw.Configure(catalog.New(catalog.Spec{
+			Version: 1, Routes: []catalog.Route{{
+				Name: "route", Kind: kind, Host: "shop.example", Prefix: path, MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "desk"}},
+			}},
+			Services: []catalog.Service{{Name: "desk"}},
+		}))
+		hr := httptest.NewRequest(http.MethodPost, path, nil)
+		hr.Host = "shop.example"
+		hr.Header.Set("X-Request-Id", "a")
+		hr.Header.Set("Bergamotway-Attempts", "0")
+		rr := httptest.NewRecorder()
+		gw.RelayHandler().ServeHTTP(rr, hr)
+		require.Equal(t, http.StatusOK, rr.Code)
+		require.Empty(t, rr.Header().Get("Bergamotway-Not-Run"))
+		require.Empty(t, rr.Header().Get("Bergamotway-Unserved"))
+	}
+}
+
 // Guards against requests that hosts without a way to the endpoints pass on in a circle.
 func TestRelayedRequestIsNotPassedOnAgain(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -42,6 +42,14 @@
 	return forwardError("the connection carries too many responses to earlier requests")
 }
 
+// copyHeader copies the header of a response, but for the fields by which hosts tell each other of refusals.
+func (fw *forwarder) copyHeader(rs *attempt.Response) {
+	hd := fw.w.Header()
+	fw.gw.opts.Codec.CopyResponseHeader(hd, rs.Header)
+	hd.Del(headerNotRun)
+	hd.Del(headerUnserved)
+}
+
 // relayResponse forwards a response that is not a stream. It holds back the first maxBufferedResponseBytes:
 // if the response breaks off within them, the request can still be retried.
 func (fw *forwarder) relayResponse(rs *attempt.Response, me ResponseMeta, pl plan) (nextStep, fleet.Outcome, error) {
@@ -68,7 +76,7 @@
 	}
 	fw.gw.opts.Meter.ObserveFirstToken(rq.route.Name, fw.gw.opts.Clock.Now().Sub(rq.arrived))
 	hd := fw.w.Header()
-	fw.gw.opts.Codec.CopyResponseHeader(hd, rs.Header)
+	fw.copyHeader(rs)
 	if len(head) == maxBufferedResponseBytes {
 		return fw.relayLongResponse(rs, head, pl, outcome)
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -116,7 +116,7 @@
 		return
 	}
 	fw.headerWritten = true
-	fw.gw.opts.Codec.CopyResponseHeader(fw.w.Header(), rs.Header)
+	fw.copyHeader(rs)
 	fw.w.WriteHeader(rs.Status)
 }
 
