--- a/review/drill/configuration.go
+++ b/review/drill/configuration.go
@@ -1,5 +1,13 @@
 package main
 
+import (
+	"cmp"
+	"time"
+)
+
+// defaultStreamTimeout is the timeout of the route with streams.
+const defaultStreamTimeout = 4 * time.Second
+
 // tenant is a tenant of the desired state.
 type tenant struct {
 	Name      string   `json:"name"`
@@ -29,7 +37,7 @@
 	_, err := bed.store.Put("op/config", map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			route("edge-query", visitPath, "streaming", "whetstone", 4000, 500, 2),
+			route("edge-query", visitPath, "streaming", "whetstone", int(cmp.Or(bed.streamTimeout, defaultStreamTimeout).Milliseconds()), 500, 2),
 			route("book-pay", bookingPath, "non_idempotent", "roundbook", 3000, 300, 1),
 			route("round-lookup", lookupPath, "idempotent", "roundbook", 3000, 300, 2),
 		},
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -25,6 +25,8 @@
 	"two-versions":  runTwoVersions,
 	"ran-refused":   runRanRefused,
 	"foreign-cache": runForeignCache,
+	"taken-up":      runTakenUp,
+	"last-key":      runLastKey,
 }
 
 func main() {
--- a/review/drill/testbed.go
+++ b/review/drill/testbed.go
@@ -44,6 +44,8 @@
 		template string
 		store    *site.Store
 		hosts    []*hostProcess
+		// streamTimeout is the timeout of the route with streams; zero means 4 s.
+		streamTimeout time.Duration
 		// closeOnce makes close idempotent.
 		closeOnce sync.Once
 
@@ -54,9 +56,9 @@
 
 	// hostProcess is a host that runs as a process.
 	hostProcess struct {
-		name, front, ready, peer string
-		cmd                      *exec.Cmd
-		exited                   chan struct{}
+		name, front, ready, settingsPath string
+		cmd                              *exec.Cmd
+		exited                           chan struct{}
 	}
 
 	// endpointProcess is a start of an endpoint that runs as a process.
@@ -149,6 +151,16 @@
 		}
 		bed.hosts = append(bed.hosts, ho)
 	}
+	if err := bed.awaitReady(ctx); err != nil {
+		return err
+	}
+	// The hosts learn of each other.
+	time.Sleep(time.Second)
+	return nil
+}
+
+// awaitReady waits until all hosts are ready.
+func (bed *testbed) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(readyTimeout)
 	for _, ho := range bed.hosts {
 		for !ho.isReady(ctx) {
@@ -158,8 +170,6 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	}
-	// The hosts learn of each other.
-	time.Sleep(time.Second)
 	bed.record.printf("%d hosts are ready", len(bed.hosts))
 	return nil
 }
@@ -187,24 +197,31 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return nil, err
 	}
-	logFile, err := os.Create(filepath.Join(bed.dir, name+".log"))
+	ho := &hostProcess{name: name, front: addresses[0], ready: addresses[1], settingsPath: path}
+	return ho, ho.start(bed.gateway)
+}
+
+// start starts the process of a host. It logs to a file beside its settings.
+func (ho *hostProcess) start(gateway string) error {
+	logFile, err := os.OpenFile(ho.settingsPath+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer func() { _ = logFile.Close() }()
-	cmd := exec.Command(bed.gateway, "gateway")
-	cmd.Env = []string{"BERGAMOTWAY_SETTINGS=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	cmd := exec.Command(gateway, "gateway")
+	cmd.Env = []string{"BERGAMOTWAY_SETTINGS=" + ho.settingsPath, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	if err := cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	ho := &hostProcess{name: name, front: addresses[0], ready: addresses[1], peer: addresses[2], cmd: cmd, exited: make(chan struct{})}
+	exited := make(chan struct{})
+	ho.cmd, ho.exited = cmd, exited
 	go func() {
 		// The state of the process says how it ended.
 		_ = cmd.Wait()
-		close(ho.exited)
+		close(exited)
 	}()
-	return ho, nil
+	return nil
 }
 
 // fillTemplate replaces the placeholders of a settings template by values, as JSON where the placeholder asks for that.
