--- a/review/drill/ran_refused.go
+++ b/review/drill/ran_refused.go
@@ -35,20 +35,28 @@
 		mu      sync.Mutex
 		replies []reply
 		served  int
+		// again holds, by the identifier of a refused booking, that of the attempt by which the client sends it once more.
+		again = make(map[string]string)
 	)
 	for i := range 6 {
 		wg.Go(func() {
 			tr := &http.Transport{}
 			defer tr.CloseIdleConnections()
 			for range 30 {
-				re := bed.send(ctx, tr, bed.hosts[i%len(bed.hosts)], call{
-					method: http.MethodPost, path: bookingPath + "2f", key: firstKey, timeout: 3 * time.Second,
-				})
+				ca := call{method: http.MethodPost, path: bookingPath + "2f", key: firstKey, timeout: 3 * time.Second}
+				re := bed.send(ctx, tr, bed.hosts[i%len(bed.hosts)], ca)
+				attempts := []reply{re}
+				if isPromise(re.status) {
+					attempts = append(attempts, bed.send(ctx, tr, bed.hosts[(i+1)%len(bed.hosts)], ca))
+				}
 				mu.Lock()
-				replies = append(replies, re)
+				replies = append(replies, attempts...)
 				if re.status == http.StatusOK {
 					served++
 				}
+				if len(attempts) > 1 {
+					again[re.id] = attempts[1].id
+				}
 				mu.Unlock()
 				time.Sleep(50 * time.Millisecond)
 			}
@@ -64,13 +72,21 @@
 		ranAt[er.ID] = er.Endpoint
 	}
 	var violations []string
+	twice := 0
 	for _, re := range replies {
-		switch re.status {
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-			if endpoint, ok := ranAt[re.id]; ok {
-				violations = append(violations, fmt.Sprintf("%s: answered %d, and has run at %s", re.id, re.status, endpoint))
+		if endpoint, ok := ranAt[re.id]; ok && isPromise(re.status) {
+			violations = append(violations, fmt.Sprintf("%s: answered %d, and has run at %s", re.id, re.status, endpoint))
+			if _, ok := ranAt[again[re.id]]; ok {
+				twice++
 			}
 		}
 	}
+	bed.record.printf("bookings that ran twice, as their clients sent them again after a promise: %d", twice)
 	return violations, nil
 }
+
+// isPromise reports whether a status tells a client that its request has not run and never will.
+func isPromise(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusRequestTimeout ||
+		status == http.StatusMisdirectedRequest
+}
