--- a/review/drill/endpoint.go
+++ b/review/drill/endpoint.go
@@ -16,7 +16,7 @@
 const (
 	modelName = "daka510000"
 	// engineSlots is the number of requests that an engine runs at a time.
-	engineSlots = 6
+	engineSlots = 8
 )
 
 type (
--- a/review/drill/two_versions.go
+++ b/review/drill/two_versions.go
@@ -18,15 +18,16 @@
 	storeOutage = 5200 * time.Millisecond
 	// allowedMixed is the number of streams with events of two versions that the rule allows.
 	allowedMixed = 2
-	// mixedEndpoints is the number of engines, mixedClients that of the clients, and mixedHosts that of the hosts.
-	mixedEndpoints = 4
-	mixedClients   = 48
-	mixedHosts     = 6
+	// mixedEndpoints is the number of engines, upgradedEndpoints that of those that start again, mixedClients that of the clients, and mixedHosts that of the hosts.
+	mixedEndpoints    = 8
+	upgradedEndpoints = 2
+	mixedClients      = 128
+	mixedHosts        = 6
 )
 
 var softwarePattern = regexp.MustCompile(`by software (v\d+)`)
 
-// runTwoVersions restarts one of four engines in place with the next version of its software, and lets that version crash some
+// runTwoVersions restarts two of eight engines in place with the next version of its software, and lets that version crash some
 // seconds later. With the disruption the metadata store is down meanwhile. No more than two streams may hold events of both
 // versions.
 func runTwoVersions(ctx context.Context, bed *testbed, trouble bool) ([]string, error) {
@@ -36,7 +37,7 @@
 	engine := func(id string) endpointOptions {
 		return endpointOptions{ID: id, Service: "whetstone", Software: "v1", Model: true, Events: 12, EventMs: 150}
 	}
-	var upgraded *endpointProcess
+	var ids []string
 	for i := range mixedEndpoints {
 		ep, err := bed.startEndpoint(engine(fmt.Sprintf("i-7f3a91c%d", i)))
 		if err != nil {
@@ -45,7 +46,9 @@
 		if err := bed.register(ep); err != nil {
 			return nil, err
 		}
-		upgraded = ep
+		if i < upgradedEndpoints {
+			ids = append(ids, ep.opts.ID)
+		}
 	}
 	if err := bed.startHosts(ctx, mixedHosts); err != nil {
 		return nil, err
@@ -97,14 +100,11 @@
 		})
 	}
 	time.Sleep(200 * time.Millisecond)
-	opts := engine(upgraded.opts.ID)
-	opts.Address = upgraded.opts.Address
-	opts.Software = "v2"
-	if err := bed.restart(upgraded, opts, trouble); err != nil {
+	if err := bed.restartAll(ids, "v2"); err != nil {
 		return nil, err
 	}
-	time.Sleep(3 * time.Second)
-	if err := bed.restart(bed.lastStart(opts.ID), opts, trouble); err != nil {
+	time.Sleep(3500 * time.Millisecond)
+	if err := bed.restartAll(ids, "v2"); err != nil {
 		return nil, err
 	}
 	time.Sleep(4 * time.Second)
@@ -120,17 +120,26 @@
 	return mixed, nil
 }
 
-// restart ends a start of an endpoint and begins the next at the same address, under the same identifier. The endpoint writes its
-// entry as soon as the metadata store takes it.
-func (bed *testbed) restart(ep *endpointProcess, opts endpointOptions, storeIsDown bool) error {
-	bed.record.printf("endpoint %s ends", ep.opts.ID)
-	ep.kill()
+// restartAll ends endpoints and starts them again at their addresses, under their identifiers, with a version of their software.
+// Each writes its entry as soon as the metadata store takes it.
+func (bed *testbed) restartAll(ids []string, software string) error {
+	var started []endpointOptions
+	for _, id := range ids {
+		ep := bed.lastStart(id)
+		bed.record.printf("endpoint %s ends", id)
+		ep.kill()
+		opts := ep.opts
+		opts.Software, opts.BornMs = software, 0
+		started = append(started, opts)
+	}
 	time.Sleep(500 * time.Millisecond)
-	next, err := bed.startEndpoint(opts)
-	if err != nil {
-		return err
+	for _, opts := range started {
+		next, err := bed.startEndpoint(opts)
+		if err != nil {
+			return err
+		}
+		go bed.registerWhenUp(next)
 	}
-	go bed.registerWhenUp(next)
 	return nil
 }
 
