contact, gateway, node: log what a take-up relies on, and standstills

Nothing in the logs told from where a host knew which software version had begun a stream, how old its view of the metadata store and of other hosts was at that moment, or that the process had stood still.

Each take-up now leaves one line with the origin, from where it is known, the age and revision of the view, and the age of the last digest of another host; a standstill leaves one with its length. Package contact holds the age of what a host knows, on the clock that advances during a suspension. No decision depends on it yet. Origins.Find returns the source in place of a flag; its tests compare it with origin.Unknown, which is what the flag told.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -80,6 +80,8 @@
 		// IsSoftwareRecorded reports whether all hosts will know, also after a restart, that a software version is in service;
 		// nil means always.
 		IsSoftwareRecorded func(service, software string) bool
+		// ContactFields returns log fields that tell how old what the host knows is; nil means none.
+		ContactFields func() logrus.Fields
 		// WeightsTimeLeft returns for how long a request may still begin on a weight version of a model; ok is
 		// false if that is not limited.
 		WeightsTimeLeft func(model string, version uint64) (d time.Duration, ok bool)
@@ -108,6 +110,9 @@
 	if opts.IsSoftwareRecorded == nil {
 		opts.IsSoftwareRecorded = func(string, string) bool { return true }
 	}
+	if opts.ContactFields == nil {
+		opts.ContactFields = func() logrus.Fields { return logrus.Fields{} }
+	}
 	return &Gateway{opts: opts, bodyBudget: bodyBudget{limit: opts.BodyMemoryBytes}}
 }
 
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -14,14 +14,24 @@
 // findOrigin finds what began the stream that the client takes up. It reports whether the stream may go on.
 func (fw *forwarder) findOrigin(ctx context.Context) bool {
 	rq := fw.rq
-	or, ok := fw.gw.opts.Origins.Find(ctx, origin.Stream{Team: rq.teamName(), Request: rq.Resumes}, rq.service.Name)
-	if !ok || or.Service != rq.service.Name {
+	or, from := fw.gw.opts.Origins.Find(ctx, origin.Stream{Team: rq.teamName(), Request: rq.Resumes}, rq.service.Name)
+	fw.logTakeUp(or, from)
+	if from == origin.Unknown || or.Service != rq.service.Name {
 		return false
 	}
 	fw.begun = &or
 	return fw.isOriginKnown()
 }
 
+// logTakeUp logs what is known of the stream that the client takes up.
+func (fw *forwarder) logTakeUp(or origin.Origin, from origin.Source) {
+	fields := fw.gw.opts.ContactFields()
+	fields["request"], fields["resumes"], fields["after-event"] = fw.rq.ID, fw.rq.Resumes, fw.rq.LastEventID
+	fields["service"], fields["software"], fields["known-from"] = or.Service, or.Software, string(from)
+	fields["relayed"] = fw.rq.relayedFrom != nil
+	fw.gw.opts.Log.WithFields(fields).Info("Stream is taken up.")
+}
+
 // recordOrigin remembers which endpoint begins the stream, before its first event is forwarded.
 func (fw *forwarder) recordOrigin(pl plan, fi *fleet.InFlight) {
 	rq := fw.rq
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -143,8 +143,8 @@
 		status, _ := fx.takeUp(first, "", "")
 		require.Equal(t, http.StatusOK, status)
 		before := [2]int64{engines.read.Load(), others.read.Load()}
-		or, ok := fx.origins.Find(t.Context(), origin.Stream{Request: first}, "")
-		require.True(t, ok)
+		or, from := fx.origins.Find(t.Context(), origin.Stream{Request: first}, "")
+		require.NotEqual(t, origin.Unknown, from)
 		status, _ = fx.takeUp(fmt.Sprint("second-", i), first, "1")
 		require.Equal(t, http.StatusOK, status)
 		after := [2]int64{engines.read.Load(), others.read.Load()}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/changefeed"
 	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/contact"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/gateway"
 	"github.com/bergamotway/bergamotway/internal/leadership"
@@ -114,6 +115,9 @@
 		// neighbours are the hosts through which requests reach services that do not respond to this host.
 		neighbours *relay.Neighbours
 
+		// peerContact tells when another host was last heard.
+		peerContact *contact.Contact
+
 		// The listeners for clients, peers' requests, readiness probes and metrics; metricsListener may be nil.
 		clientListener  net.Listener
 		relayListener   net.Listener
@@ -150,6 +154,7 @@
 		reregister:        make(chan struct{}, 1),
 		quarantine:        quarantine.NewTracker(ck),
 		neighbours:        relay.New(ck),
+		peerContact:       contact.New(nil),
 	}
 	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement, OnReachChange: no.noteReach})
 	no.hostCount.Store(1)
@@ -159,7 +164,7 @@
 	no.storeState = &storeState{
 		log: lg.WithField("part", "state"), decoder: deps.Decoder, fleet: no.fleet, host: st.Name,
 		applyCatalog: no.applyCatalog, applyPeers: no.setPeers,
-		hosts: make(map[string]peering.Peer), clock: ck, onRestored: no.noteRestored,
+		contact: contact.New(nil), hosts: make(map[string]peering.Peer), clock: ck, onRestored: no.noteRestored,
 		evacuated: make(map[string]bool), retainedZones: make(map[string]time.Time), retainedHosts: make(map[string]time.Time),
 	}
 	no.storeState.targets = weights.New(weights.Options{
@@ -196,6 +201,7 @@
 		HostCount:     func() int { return int(no.hostCount.Load()) },
 		TargetVersion: no.storeState.targets.Target, IsVersionExpired: no.storeState.targets.IsExpired,
 		WeightsTimeLeft: no.weightsTimeLeft, Origins: no.origins, IsSoftwareRecorded: no.storeState.releases.IsRecorded,
+		ContactFields: no.contactFields,
 	})
 	if err := deps.Meter.ObserveEndpoints(no.countStatements); err != nil {
 		return nil, err
@@ -263,6 +269,7 @@
 	eg.Go(func() error { no.maintainRegistration(workCtx); return nil })
 	eg.Go(func() error { no.sweepConnections(workCtx); return nil })
 	eg.Go(func() error { no.probeEndpoints(workCtx); return nil })
+	eg.Go(func() error { contact.WatchStandstill(workCtx, no.ck, clock.SinceBoot, no.noteStandstill); return nil })
 	eg.Go(func() error { no.followCacheStores(workCtx); return nil })
 	eg.Go(func() error { no.storeState.targets.Run(workCtx); return nil })
 	eg.Go(func() error { no.storeState.verdicts.Run(workCtx); return nil })
--- a/internal/node/source.go
+++ b/internal/node/source.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bergamotway/bergamotway/internal/cachedir"
+	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/peering"
 	"github.com/bergamotway/bergamotway/internal/quarantine"
@@ -51,9 +52,9 @@
 	dg.Statements = no.endpointStatements(now)
 	// The clock is read before the revision of the gates: if the gates change in between, peers get a
 	// shorter grant or none, never a longer one.
-	if clock := no.cache.Clock(); clock > 0 && no.isRegistered() {
+	if endpointClock := no.cache.Clock(); endpointClock > 0 && no.isRegistered() {
 		revision := no.reclaimer.gatesRevision()
-		dg.EndpointClockMs, dg.GateRevision = clock, &revision
+		dg.EndpointClockMs, dg.GateRevision = endpointClock, &revision
 	}
 	crashes, cleared := no.quarantine.RecentChanges()
 	for _, cr := range crashes {
@@ -112,6 +113,7 @@
 // HandleDigest merges a digest from a peer.
 func (ds *digestSource) HandleDigest(dg peering.Digest) {
 	no := (*Node)(ds)
+	no.peerContact.Confirm(clock.SinceBoot())
 	no.learnEra(dg)
 	if dg.Feed != nil {
 		no.feedSubscriber.Offer(dg.Host, *dg.Feed)
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -13,6 +13,7 @@
 
 	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/contact"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/peering"
@@ -71,6 +72,8 @@
 		fleet   *fleet.Fleet
 		// host is the name of this host.
 		host string
+		// contact tells when what the host knows of the store was last complete.
+		contact *contact.Contact
 		// The functions receive the decoded items. onLeaderGone is called when the upgrade leader's item
 		// does not exist or has been removed.
 		applyCatalog     func(*catalog.Catalog)
@@ -221,12 +224,16 @@
 }
 
 // CallDelayed records that changes may have been missed until now.
-func (ss *storeState) CallDelayed() { ss.targets.Interrupt() }
+func (ss *storeState) CallDelayed() {
+	ss.targets.Interrupt()
+	ss.contact.Interrupt()
+}
 
 // CallSucceeded records that the store has answered and its changes up to confirmedAt have been applied.
 func (ss *storeState) CallSucceeded(confirmedAt time.Duration) {
 	ss.endRetention()
 	ss.targets.Confirm(ss.seen(), confirmedAt)
+	ss.contact.Confirm(confirmedAt)
 	if outage := ss.fleet.StoreReached(); outage > 0 || ss.unreachable {
 		ss.unreachable = false
 		ss.log.WithFields(logrus.Fields{"dependency": "metadata-store", "away-ms": outage.Milliseconds()}).Info("Dependency is back.")
@@ -236,6 +243,7 @@
 // CallFailed records that a call to the store has failed.
 func (ss *storeState) CallFailed(err error) {
 	ss.targets.Interrupt()
+	ss.contact.Interrupt()
 	ss.fleet.StoreLost()
 	if !ss.unreachable {
 		ss.unreachable = true
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -81,6 +81,9 @@
 		lastQuery uint64
 	}
 
+	// Source is from where a host knows what began a stream.
+	Source string
+
 	// streamKey identifies a stream in messages and tables.
 	streamKey [16]byte
 
@@ -95,6 +98,17 @@
 	}
 )
 
+const (
+	// Unknown means that the origin is not known, and there may be several.
+	Unknown Source = "unknown"
+	// Remembered means that the host has begun the stream, or was told of it.
+	Remembered Source = "remembered"
+	// Answered means that another host has answered.
+	Answered Source = "answered"
+	// OnlyVersion means that the service has one software version.
+	OnlyVersion Source = "only-version"
+)
+
 // New returns a directory that remembers no streams.
 func New(opts Options) *Directory {
 	if opts.Clock == nil {
@@ -138,19 +152,22 @@
 	di.tell(told)
 }
 
-// Find returns what began a stream of a service. It asks other hosts if this one does not know. The result is false if the
-// origin is not known, and there may be several.
-func (di *Directory) Find(ctx context.Context, st Stream, service string) (Origin, bool) {
+// Find returns what began a stream of a service, and from where that is known. It asks other hosts if this one does not know.
+func (di *Directory) Find(ctx context.Context, st Stream, service string) (Origin, Source) {
 	software, isSole := di.opts.Sole(service)
+	sole, source := Origin{Service: service, Software: software}, Unknown
+	if isSole {
+		source = OnlyVersion
+	}
 	if st.Request == "" {
-		return Origin{Service: service, Software: software}, isSole
+		return sole, source
 	}
 	key := st.key()
 	di.mu.Lock()
 	or, ok := di.get(key)
 	di.mu.Unlock()
 	if ok {
-		return or, true
+		return or, Remembered
 	}
 	timeout := findTimeout
 	if isSole {
@@ -160,9 +177,9 @@
 		di.mu.Lock()
 		di.kept.put(key, or, di.opts.Clock.Now(), di.opts.Retention)
 		di.mu.Unlock()
-		return or, true
+		return or, Answered
 	}
-	return Origin{Service: service, Software: software}, isSole
+	return sole, source
 }
 
 // key returns the key of a stream. Streams of different teams have different keys.
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -85,8 +85,8 @@
 					st := origin.Stream{Team: "team", Request: fmt.Sprint("request-", i)}
 					want := origin.Origin{Service: "engines", Software: fmt.Sprint("v", i%3)}
 					nw.host(i).Record(st, want)
-					got, ok := nw.host(i+1).Find(context.Background(), st, "engines")
-					if ok {
+					got, from := nw.host(i+1).Find(context.Background(), st, "engines")
+					if from != origin.Unknown {
 						require.Equal(t, want, got)
 						found++
 					}
@@ -125,10 +125,10 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					or, ok := nw.host(hosts-1).Find(context.Background(), origin.Stream{Request: fmt.Sprint(i)}, "engines")
+					or, from := nw.host(hosts-1).Find(context.Background(), origin.Stream{Request: fmt.Sprint(i)}, "engines")
 					mu.Lock()
 					defer mu.Unlock()
-					if ok && or.Software == "v1" {
+					if from != origin.Unknown && or.Software == "v1" {
 						found++
 					}
 				}()
@@ -148,8 +148,8 @@
 	for _, name := range nw.names {
 		nw.start(name, several)
 	}
-	_, ok := nw.host(1).Find(context.Background(), st, "engines")
-	require.False(t, ok)
+	_, from := nw.host(1).Find(context.Background(), st, "engines")
+	require.Equal(t, origin.Unknown, from)
 }
 
 func TestOnlyVersionNeedsNoRecord(t *testing.T) {
@@ -158,8 +158,8 @@
 	nw.host(0).Record(origin.Stream{Request: "a"}, origin.Origin{Service: "engines", Software: "v1"})
 	require.Zero(t, nw.messages, "there is nothing to tell")
 	for _, request := range []string{"a", "never-begun", ""} {
-		or, ok := nw.host(1).Find(context.Background(), origin.Stream{Request: request}, "engines")
-		require.True(t, ok)
+		or, from := nw.host(1).Find(context.Background(), origin.Stream{Request: request}, "engines")
+		require.NotEqual(t, origin.Unknown, from)
 		require.Equal(t, origin.Origin{Service: "engines", Software: "v1"}, or)
 	}
 }
@@ -176,8 +176,8 @@
 	nw.host(0).Record(origin.Stream{Request: "new"}, origin.Origin{Service: "engines", Software: "v2"})
 	nw.kill("host-0")
 	for i := range 100 {
-		or, ok := nw.host(3).Find(context.Background(), origin.Stream{Request: fmt.Sprint("old-", i)}, "engines")
-		require.True(t, ok)
+		or, from := nw.host(3).Find(context.Background(), origin.Stream{Request: fmt.Sprint("old-", i)}, "engines")
+		require.NotEqual(t, origin.Unknown, from)
 		require.Equal(t, "v1", or.Software)
 	}
 }
@@ -186,8 +186,8 @@
 	t.Parallel()
 	nw := newNetwork(3, 0, several)
 	nw.host(0).Record(origin.Stream{Team: "one", Request: "a"}, origin.Origin{Service: "engines", Software: "v1"})
-	_, ok := nw.host(0).Find(context.Background(), origin.Stream{Team: "other", Request: "a"}, "engines")
-	require.False(t, ok)
+	_, from := nw.host(0).Find(context.Background(), origin.Stream{Team: "other", Request: "a"}, "engines")
+	require.Equal(t, origin.Unknown, from)
 }
 
 // Guards against a guess between two streams whose requests have the same identifier.
@@ -198,8 +198,8 @@
 	nw.host(0).Record(st, origin.Origin{Service: "engines", Software: "v1"})
 	nw.host(1).Record(st, origin.Origin{Service: "engines", Software: "v2"})
 	for i := range 3 {
-		or, ok := nw.host(i).Find(context.Background(), st, "engines")
-		require.True(t, ok)
+		or, from := nw.host(i).Find(context.Background(), st, "engines")
+		require.NotEqual(t, origin.Unknown, from)
 		require.Empty(t, or.Software)
 	}
 }
@@ -211,11 +211,11 @@
 	st := origin.Stream{Request: "a"}
 	di.Record(st, origin.Origin{Service: "engines", Software: "v1"})
 	ck.Advance(time.Minute)
-	_, ok := di.Find(context.Background(), st, "engines")
-	require.True(t, ok)
+	_, from := di.Find(context.Background(), st, "engines")
+	require.NotEqual(t, origin.Unknown, from)
 	ck.Advance(2 * time.Minute)
-	_, ok = di.Find(context.Background(), st, "engines")
-	require.False(t, ok)
+	_, from = di.Find(context.Background(), st, "engines")
+	require.Equal(t, origin.Unknown, from)
 }
 
 // Guards against new streams that push out those that clients may take up.
@@ -227,8 +227,8 @@
 	for i := range 40_000 {
 		di.Record(origin.Stream{Team: "other", Request: fmt.Sprint(i)}, origin.Origin{Service: "engines", Software: "v2"})
 	}
-	or, ok := di.Find(context.Background(), first, "engines")
-	require.True(t, ok)
+	or, from := di.Find(context.Background(), first, "engines")
+	require.NotEqual(t, origin.Unknown, from)
 	require.Equal(t, "v1", or.Software)
 }
 
