node: read bounds with fractions

The template made milliseconds of graceS by appending zeros, and four bounds were whole numbers.

TestBoundsOfThePlatformMayBeFractions loads the filled-in template; against the types of before it does not compile.

--- a/internal/node/feed.go
+++ b/internal/node/feed.go
@@ -30,7 +30,7 @@
 // maxFeedAge returns the age from which the state that a relay has confirmed is too old, so that this host
 // watches the store itself. The rest of Bounds.ApplyMs is left for that.
 func (no *Node) maxFeedAge() time.Duration {
-	return time.Duration(float64(no.settings().Bounds.ApplyMs) * maxFeedAgeShare * float64(time.Millisecond))
+	return milliseconds(no.settings().Bounds.ApplyMs * maxFeedAgeShare)
 }
 
 // watchPause returns the pause between two watches of the metadata store.
@@ -38,7 +38,7 @@
 	if no.exchange.IsZoneAggregator() {
 		return relayWatchPause
 	}
-	limit := time.Duration(float64(no.settings().Bounds.ApplyMs) * maxWatchPauseShare * float64(time.Millisecond))
+	limit := milliseconds(no.settings().Bounds.ApplyMs * maxWatchPauseShare)
 	return min(time.Duration(no.hostCount.Load())*watchPausePerHost, limit)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,7 +177,7 @@
 	no.origins = no.newOriginDirectory()
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
-		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, OnChange: no.logLeadership,
+		TTL: milliseconds(st.Bounds.LeaseMs), OnChange: no.logLeadership,
 		// A host that does not know the state yet leaves the lease to the others.
 		AcquireDelay: no.leaderDelay, IsHeld: func() bool { return !no.fleet.IsSynced() || no.storeState.hasLeader.Load() },
 	})
--- a/internal/node/parts.go
+++ b/internal/node/parts.go
@@ -31,7 +31,7 @@
 func (no *Node) verdictDelay() time.Duration {
 	delay := no.recordDelay()
 	if delay > 0 {
-		delay += time.Duration(no.settings().Bounds.ApplyMs) * time.Millisecond
+		delay += milliseconds(no.settings().Bounds.ApplyMs)
 	}
 	return delay
 }
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,6 +2,8 @@
 package node
 
 import (
+	"time"
+
 	"github.com/bergamotway/bergamotway/internal/settings"
 )
 
@@ -42,16 +44,16 @@
 	// Bounds are the limits that the operators set for all hosts together. Zero means the default.
 	Bounds struct {
 		// StopMs is how long a planned stop may take, in milliseconds; the default is 8,000.
-		StopMs int `json:"stop-ms" min:"0" max:"3600000"`
+		StopMs float64 `json:"stop-ms" min:"0" max:"3600000"`
 		// ApplyMs is the time within which a change by the operator must be in force, in milliseconds;
 		// the default is 2,000.
-		ApplyMs int `json:"apply-ms" min:"0" max:"3600000"`
+		ApplyMs float64 `json:"apply-ms" min:"0" max:"3600000"`
 		// LeaseMs is the lease of the upgrade leader, in milliseconds: how long after the last order of
 		// one leader the next may give orders. The default is 3,000.
-		LeaseMs int `json:"lease-ms" min:"0" max:"600000"`
+		LeaseMs float64 `json:"lease-ms" min:"0" max:"600000"`
 		// WeightsMs is how long older weights may be used after the operator has set a newer target
 		// version, in milliseconds; the default is 15,000.
-		WeightsMs int `json:"weights-ms" min:"0" max:"3600000"`
+		WeightsMs float64 `json:"weights-ms" min:"0" max:"3600000"`
 		// RepeatRatio, RepeatWindowS and RepeatSlack bound the retries to a service: within a window
 		// of RepeatWindowS seconds, at most RepeatRatio times the number of its requests, plus
 		// RepeatSlack.
@@ -78,3 +80,6 @@
 	unknown, err = settings.LoadLenient(path, &st)
 	return st, unknown, err
 }
+
+// milliseconds returns a duration of the settings.
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,40 @@
+package node_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/node"
+)
+
+var placeholder = regexp.MustCompile(`\{\{([a-zA-Z0-9.]+)(?:\|json)?\}\}`)
+
+// Guards against a host that does not start because the platform states a bound as a fraction.
+func TestBoundsOfThePlatformMayBeFractions(t *testing.T) {
+	t.Parallel()
+	template, err := os.ReadFile(filepath.Join("..", "..", "deploy", "settings.json.tmpl"))
+	require.NoError(t, err)
+	values := map[string]string{
+		"node": `"host-0"`, "zone": `"here"`, "listen.front": `"10.1.0.19:8749"`, "listen.ready": `"10.1.0.19:8741"`, "ip": "10.1.0.19",
+		"internalPorts.0": "7580", "internalPorts.1": "7581", "platform.address": `"10.200.1.7:8744"`, "limits.cpuShare": "0.4",
+		"limits.linkMbps": "1000.0", "limits.memoryMb": "284", "bounds.graceS": "7.5", "bounds.configApplyMs": "1999.5",
+		"bounds.leaseMs": "2500.25", "bounds.versionMs": "15000.5", "bounds.budgetRatio": "0.2", "bounds.budgetWindowS": "10.5", "bounds.budgetSlack": "52.5",
+	}
+	text := placeholder.ReplaceAllStringFunc(string(template), func(found string) string {
+		name := placeholder.FindStringSubmatch(found)[1]
+		require.Contains(t, values, name)
+		return values[name]
+	})
+	path := filepath.Join(t.TempDir(), "settings.json")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	st, unknown, err := node.LoadSettings(path)
+	require.NoError(t, err)
+	require.Empty(t, unknown)
+	require.Equal(t, node.Bounds{
+		StopMs: 7500, ApplyMs: 1999.5, LeaseMs: 2500.25, WeightsMs: 15000.5, RepeatRatio: 0.2, RepeatWindowS: 10.5, RepeatSlack: 52.5,
+	}, st.Bounds)
+}
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -27,7 +27,7 @@
 	no.gateway.DisableKeepAlives()
 	endLeading()
 	no.log.WithField("active", no.gateway.InFlight()).Info("Host is stopping.")
-	deadline := no.ck.Now().Add(time.Duration(no.settings().Bounds.StopMs)*time.Millisecond - stopMargin)
+	deadline := no.ck.Now().Add(milliseconds(no.settings().Bounds.StopMs) - stopMargin)
 	no.gateway.StopAt(deadline)
 	<-no.ck.After(stopAcceptTime)
 	no.gateway.RefuseNewRequests()
--- a/internal/node/weights.go
+++ b/internal/node/weights.go
@@ -26,14 +26,14 @@
 
 // maxWeightsAge returns how long after the operator has selected a newer version older weights are used.
 func (no *Node) maxWeightsAge() time.Duration {
-	return time.Duration(float64(no.settings().Bounds.WeightsMs) * staleWeightsShare * float64(time.Millisecond))
+	return milliseconds(no.settings().Bounds.WeightsMs * staleWeightsShare)
 }
 
 // weightsTimeLeft returns for how long a request may still begin on a version; ok is false if the version is not
 // outdated.
 func (no *Node) weightsTimeLeft(model string, version uint64) (d time.Duration, ok bool) {
 	age, ok := no.storeState.targets.OutdatedFor(model, version)
-	return time.Duration(no.settings().Bounds.WeightsMs)*time.Millisecond - weightsCancelMargin - age, ok
+	return milliseconds(no.settings().Bounds.WeightsMs) - weightsCancelMargin - age, ok
 }
 
 func (no *Node) logLeadership(held bool, token uint64) {
