node: write a registration that was refused

A host whose lease was granted and whose registration the metadata store then refused only renewed the lease from then on. Other hosts never learned of it: they sent it no digests, and counted it in no share.

The registration is written again, with the same lease, until it has been accepted.

--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/attempt"
+	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/node"
 	"github.com/bergamotway/bergamotway/internal/standin/site"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
@@ -38,6 +39,8 @@
 		// bounds are the bounds of the hosts that are started.
 		bounds node.Bounds
 		lastID atomic.Int64
+		// wrapStore wraps the store's client of hosts that are started from now on; nil leaves it as it is.
+		wrapStore func(metastore.Store) metastore.Store
 	}
 
 	// response is a response as the client received it.
@@ -110,11 +113,15 @@
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
 	engines := platform.NewEngineClient()
+	var store metastore.Store = platform.NewMetadataStore(env.store.Address(), nil)
+	if env.wrapStore != nil {
+		store = env.wrapStore(store)
+	}
 	no, err := node.New(node.Settings{
 		Name: name, Zone: "here", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		Store: env.store.Address(), Bounds: env.bounds,
 	}, node.Dependencies{
-		Store: platform.NewMetadataStore(env.store.Address(), nil), Decoder: platform.Decoder{}, Codec: platform.Codec{},
+		Store: store, Decoder: platform.Decoder{}, Codec: platform.Codec{},
 		Caches: engines, Engines: engines, Meter: meter, Dialer: dialer,
 	}, lg)
 	require.NoError(env.t, err)
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -18,15 +18,20 @@
 		no.log.WithField("cause", err.Error()).Error("Encoding the host's registration failed.")
 		return
 	}
+	isWritten := false
 	for {
 		requestedAt := clock.SinceBoot()
-		if lease == 0 {
+		switch {
+		case lease == 0:
+			isWritten = false
 			if lease, err = no.deps.Store.Grant(ctx, registrationTTL); err == nil {
-				_, err = no.deps.Store.Commit(ctx, metastore.Transaction{
-					Puts: []metastore.Put{{Key: prefixHosts + no.st.Name, Value: value, Lease: lease}},
-				})
+				err = no.writeRegistration(ctx, lease, value)
+				isWritten = err == nil
 			}
-		} else {
+		case !isWritten:
+			err = no.writeRegistration(ctx, lease, value)
+			isWritten = err == nil
+		default:
 			err = no.deps.Store.Renew(ctx, lease)
 		}
 		switch {
@@ -58,6 +63,14 @@
 	}
 }
 
+// writeRegistration writes the host's registration with a lease.
+func (no *Node) writeRegistration(ctx context.Context, lease uint64, value []byte) error {
+	_, err := no.deps.Store.Commit(ctx, metastore.Transaction{
+		Puts: []metastore.Put{{Key: prefixHosts + no.st.Name, Value: value, Lease: lease}},
+	})
+	return err
+}
+
 // isRegistered reports whether the registration of this host is valid. The host must also have seen its own
 // registration in the metadata store, and with it all gates from before.
 func (no *Node) isRegistered() bool {
