catalog, platform: let nobody in if the operator names no team

Once the operator had taken away the last team, requests ran with any key on all routes, also with keys that no configuration ever held. HasTeams took an empty list of teams for a configuration without teams.

A configuration whose list of teams is there, if empty, needs keys now; one without the list needs none, as before. TestConfigurationWithoutATeamLetsNobodyIn failed before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -129,8 +129,9 @@
 		Routes      []Route
 		Services    []Service
 		CacheStores []CacheStore
-		Teams       []Team
-		Limits      Limits
+		// Teams own the API keys; nil means that no request needs one. An empty list lets nobody in but on public routes.
+		Teams  []Team
+		Limits Limits
 	}
 
 	// Catalog is one version of the configuration, indexed for lookups. It is immutable and safe for
@@ -211,8 +212,8 @@
 	return nil, false
 }
 
-// HasTeams reports whether there are teams. Without teams no request needs an API key.
-func (ct *Catalog) HasTeams() bool { return len(ct.spec.Teams) > 0 }
+// NeedsKeys reports whether requests need an API key, unless their route is public.
+func (ct *Catalog) NeedsKeys() bool { return ct.spec.Teams != nil }
 
 // Team returns the team that owns an API key; ok is false if none does.
 func (ct *Catalog) Team(key string) (te *Team, ok bool) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -207,7 +207,7 @@
 		return http.StatusNotFound, "no-route"
 	}
 	rq.route = ro
-	if ct.HasTeams() && !ro.Public {
+	if ct.NeedsKeys() && !ro.Public {
 		if rq.team, ok = ct.Team(rq.APIKey); !ok {
 			return http.StatusUnauthorized, "unknown-key"
 		}
