gateway: keep the closed address of tests taken

TestRelayedRequestIsNotPassedOnAgain failed once in three runs beside load, with 200 for 503. Its closed address was that of a listener that it had just ended, which the kernel gives again: a trial that ends listeners and opens 20 others each time got one of them back at the 109th. Then an endpoint of another test answers there.

The address is now a bound socket that does not listen, and stays taken until the test ends. TestClosedAddressStaysClosed guards it; the address of before could be listened at. Whether the failure that was seen had this cause is not proved, as it was not seen again.

--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -6,10 +6,12 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/catalog"
@@ -20,12 +22,28 @@
 	"github.com/bergamotway/bergamotway/internal/retry"
 )
 
-// closedAddress returns an address at which nothing listens.
+// closedAddress returns an address at which nothing listens. The port stays taken until the test ends, so that nothing else can
+// listen there.
 func closedAddress(t *testing.T) string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	sa, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	in4, ok := sa.(*unix.SockaddrInet4)
+	require.True(t, ok)
+	return netip.AddrPortFrom(netip.AddrFrom4(in4.Addr), uint16(in4.Port)).String()
+}
+
+// Guards against tests whose closed address other tests and processes take.
+func TestClosedAddressStaysClosed(t *testing.T) {
+	t.Parallel()
+	address := closedAddress(t)
+	_, err := net.DialTimeout("tcp", address, time.Second)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	_, err = net.Listen("tcp", address)
+	require.ErrorIs(t, err, syscall.EADDRINUSE)
 }
 
 // Guards against an endpoint whose response a host takes for the refusal of another host, and runs the request again.
