gateway: promise that a request has not run only where it is known

Clients got an endpoint's own 503 for a booking that it had run. The host passed each failure of an endpoint on with its status, whatever the status says.

A response with 408, 421, 429 or 503 that does not state that the request has not run is no longer passed on, neither an endpoint's nor one that another host hands on. The request is retried where it may be; otherwise the client gets 502 without the endpoint's seal and without its Retry-After. All other statuses that a host creates itself were promises already only before an attempt may have run.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -297,9 +297,12 @@
 		step nextStep
 		oc   fleet.Outcome
 	)
-	if rq.route.Kind == catalog.Streaming && rs.Status == http.StatusOK {
+	switch {
+	case promisesNotRun(rs.Status):
+		step, oc, err = fw.withholdPromise(rs.Status)
+	case rq.route.Kind == catalog.Streaming && rs.Status == http.StatusOK:
 		step, oc, err = fw.relayStream(ctx, clientCtx, rs, me, pl, fi)
-	} else {
+	default:
 		step, oc, err = fw.relayResponse(rs, me, pl)
 	}
 	fi.End(fw.healthOutcome(ctx, clientCtx, oc), coldFor)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -142,9 +142,12 @@
 	fw.sent++
 	fw.mayHaveRun = true
 	fw.isRelayed = true
-	if rq.route.IsStream() && rs.Status == http.StatusOK {
+	switch {
+	case promisesNotRun(rs.Status):
+		step, _, err = fw.withholdPromise(rs.Status)
+	case rq.route.IsStream() && rs.Status == http.StatusOK:
 		step, _, err = fw.relayStream(ctx, clientCtx, rs, me, pl, nil)
-	} else {
+	default:
 		step, _, err = fw.relayResponse(rs, me, pl)
 	}
 	if step == stepRetry || step == stepGiveUp {
