fleet: spare cold endpoints while hosts may not know each other

Cold endpoints got 31 to 39 requests in a second where 30.5 are allowed, as cuts healed: two thirds of the hosts had lost the metadata store, half were cut off from the others, and a third had been killed meanwhile. Each host took its share by the hosts that it knew. The registration of a cut host ends, and the others share out its part while it still uses it; a host that has just started knows of neither.

A host whose registration has ended counts among the senders for 30 s more; one that is not registered for 25 s, or has been for less than 30 s, shares out half of the rate and has nothing in reserve. Hosts that see each other are not affected. A bucket no longer falls below empty while the share is small.

The share does not depend on datagrams.

--- a/internal/fleet/bucket.go
+++ b/internal/fleet/bucket.go
@@ -25,12 +25,19 @@
 	refilledAt time.Time
 }
 
-// allow reports whether one more request fits into a rate of share requests per second, and counts it if so.
-func (bu *rateBucket) allow(now time.Time, share float64) bool {
+// allow reports whether one more request fits into a rate of share requests per second, and counts it if so. A bucket that is
+// empty at first allows none at once.
+func (bu *rateBucket) allow(now time.Time, share float64, isEmptyAtFirst bool) bool {
+	if share <= 0 {
+		return false
+	}
 	if bu.refilledAt.IsZero() {
-		bu.level = 1
+		bu.level, bu.refilledAt = 1, now
+		if isEmptyAtFirst {
+			bu.level = 0
+		}
 	}
-	bu.level = math.Min(1, bu.level+now.Sub(bu.refilledAt).Seconds()*(share-1))
+	bu.level = math.Max(0, math.Min(1, bu.level+now.Sub(bu.refilledAt).Seconds()*(share-1)))
 	bu.refilledAt = now
 	if bu.level < 1 {
 		return false
@@ -41,9 +48,10 @@
 
 // coldShare returns the number of requests per second that a host may send to a cold endpoint, so that all
 // hosts together stay within the bound. With so many hosts that a share would be smaller than minColdShare,
-// only some of them may send to the endpoint, and the others get zero.
-func coldShare(rate float64, endpoint, host string, hosts []string) float64 {
-	maxRate := (rate*coldRateFactor + coldRateSlack) * coldMarginShare
+// only some of them may send to the endpoint, and the others get zero. A host that counts on a part of the rate only shares out
+// that part.
+func coldShare(rate, part float64, endpoint, host string, hosts []string) float64 {
+	maxRate := (rate*coldRateFactor + coldRateSlack) * coldMarginShare * part
 	hostCount := len(hosts)
 	senders := max(1, min(hostCount, int(maxRate/minColdShare)))
 	if senders == hostCount {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,7 @@
 		hosts     []string
 		// hostsVersion counts the changes of hosts.
 		hostsVersion int
+		coldSenders  coldSenders
 		evacuated    map[string]bool
 		// software counts the endpoints of each service by software version.
 		software map[serviceVersion]int
@@ -107,14 +108,15 @@
 		opts.Clock = clock.System()
 	}
 	return &Fleet{
-		opts:      opts,
-		hostHash:  rendezvous.Hash(opts.Host),
-		endpoints: make(map[string]*endpoint),
-		hosts:     []string{opts.Host},
-		evacuated: make(map[string]bool),
-		departed:  make(map[string]departure),
-		reach:     make(map[string]*reach),
-		software:  make(map[serviceVersion]int),
+		opts:        opts,
+		hostHash:    rendezvous.Hash(opts.Host),
+		endpoints:   make(map[string]*endpoint),
+		hosts:       []string{opts.Host},
+		coldSenders: coldSenders{departedAt: make(map[string]time.Time)},
+		evacuated:   make(map[string]bool),
+		departed:    make(map[string]departure),
+		reach:       make(map[string]*reach),
+		software:    make(map[serviceVersion]int),
 	}
 }
 
@@ -175,9 +177,12 @@
 func (fl *Fleet) SetHosts(hosts []string) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
+	now := fl.opts.Clock.Now()
+	fl.observeRegistration(now)
 	if slices.Equal(fl.hosts, hosts) {
 		return
 	}
+	fl.observeDepartures(hosts, now)
 	fl.hosts = slices.Clone(hosts)
 	fl.hostsVersion++
 }
--- a/internal/fleet/in_flight.go
+++ b/internal/fleet/in_flight.go
@@ -17,7 +17,7 @@
 		return nil
 	}
 	if coldRate > 0 && now.Before(ep.coldUntil) &&
-		!ep.coldBucket.allow(now, coldShare(coldRate, id, fl.opts.Host, fl.hosts)) {
+		!ep.coldBucket.allow(now, fl.coldShare(coldRate, id, now), fl.isUnsure(now)) {
 		return nil
 	}
 	if fl.hasLimit(ep, now) {
--- a/internal/fleet/retention.go
+++ b/internal/fleet/retention.go
@@ -60,10 +60,11 @@
 func (fl *Fleet) StoreReached() time.Duration {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
+	now := fl.opts.Clock.Now()
+	fl.observeRegistration(now)
 	if fl.storeLostAt.IsZero() {
 		return 0
 	}
-	now := fl.opts.Clock.Now()
 	outage := now.Sub(fl.storeLostAt)
 	fl.storeLostAt, fl.storeRegainedAt = time.Time{}, now
 	for _, ep := range fl.endpoints {
