attempt: check which start of an endpoint answers

An endpoint that starts again in place keeps its identifier and address, so neither a connection nor X-Expect-Instance tells it from the start that the entry in the metadata store describes. Hosts had no way to ask.

Pool.CheckStart asks the endpoint for its state over a connection of its own and compares the start time with that of the target. The wire words are in package platform. Nothing calls it yet; no probe is sent. The stand-in tells its start in its report and can change its software version between two starts.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -47,6 +47,8 @@
 		Dialer Dialer
 		// OnOpen, if not nil, is called for each new connection.
 		OnOpen func()
+		// StartCodec translates the question which start of an endpoint answers; nil means that it can't be asked.
+		StartCodec StartCodec
 	}
 
 	// Pool holds reusable connections to endpoints. It is safe for concurrent use.
@@ -55,6 +57,8 @@
 
 		mu      sync.Mutex
 		targets map[Target]*targetConns
+		// checks holds the targets of which the start is being checked.
+		checks map[Target]*startChecks
 	}
 
 	// Target identifies one start of an endpoint. Connections to an earlier or later start are never used
@@ -121,7 +125,7 @@
 	if opts.Dialer == nil {
 		opts.Dialer = &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	}
-	return &Pool{opts: opts, targets: make(map[Target]*targetConns)}
+	return &Pool{opts: opts, targets: make(map[Target]*targetConns), checks: make(map[Target]*startChecks)}
 }
 
 // Send sends a request, header and body, to target and returns once the header of a response has
@@ -325,8 +329,12 @@
 	if po.opts.OnOpen != nil {
 		po.opts.OnOpen()
 	}
+	return newConn(raw), nil
+}
+
+func newConn(raw net.Conn) *conn {
 	source := &headerLimitReader{reader: raw}
-	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // closeConn closes a connection that is no longer used. The error is of no use: any fault of the
--- a/internal/attempt/error.go
+++ b/internal/attempt/error.go
@@ -7,7 +7,16 @@
 	"github.com/pkg/errors"
 )
 
+const (
+	errNoStartCodec    = startError("nothing translates the question which start of the endpoint answers")
+	errNoStart         = startError("the endpoint does not say which start it is")
+	errStartAnswerSize = startError("the answer which start it is exceeds the size limit")
+)
+
 type (
+	// startError reports why it is not known which start of an endpoint answers.
+	startError string
+
 	// NotSentError reports that no byte of the request has left this host, so it has not run.
 	NotSentError struct {
 		target Target
@@ -28,6 +37,9 @@
 	}
 )
 
+// Error returns the message.
+func (e startError) Error() string { return string(e) }
+
 // Error returns a message with the limit.
 func (e *connectionLimitError) Error() string {
 	return fmt.Sprintf("all %d connections that this host may open to the endpoint are in use", e.limit)
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -114,7 +114,7 @@
 		Name: name, Zone: "here", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		Store: env.store.Address(), Bounds: env.bounds,
 	}, node.Dependencies{
-		Store: platform.NewMetadataStore(env.store.Address(), nil), Decoder: platform.Decoder{}, Codec: platform.Codec{},
+		Store: platform.NewMetadataStore(env.store.Address(), nil), Decoder: platform.Decoder{}, Codec: platform.Codec{}, Starts: platform.StartCodec{},
 		Caches: engines, Engines: engines, Meter: meter, Dialer: dialer,
 	}, lg)
 	require.NoError(env.t, err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,8 @@
 		Meter   *telemetry.Meter
 		// Dialer opens the connections to endpoints; nil means the system's.
 		Dialer attempt.Dialer
+		// Starts translates the question which start of an endpoint answers; nil means that it can't be asked.
+		Starts attempt.StartCodec
 	}
 
 	// Node is a gateway host: it serves clients, exchanges state with its peers and, when it is the
@@ -148,13 +150,15 @@
 	no := &Node{
 		st: st, deps: deps, ck: ck, log: lg,
 		peerSeenRevisions: make(map[string]metastore.Revision),
-		pool:              attempt.NewPool(attempt.Options{Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened}),
-		cache:             cachedir.New(ck),
-		cutOff:            make(chan struct{}, 1),
-		reregister:        make(chan struct{}, 1),
-		quarantine:        quarantine.NewTracker(ck),
-		neighbours:        relay.New(ck),
-		peerContact:       contact.New(nil),
+		pool: attempt.NewPool(attempt.Options{
+			Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened, StartCodec: deps.Starts,
+		}),
+		cache:       cachedir.New(ck),
+		cutOff:      make(chan struct{}, 1),
+		reregister:  make(chan struct{}, 1),
+		quarantine:  quarantine.NewTracker(ck),
+		neighbours:  relay.New(ck),
+		peerContact: contact.New(nil),
 	}
 	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement, OnReachChange: no.noteReach})
 	no.hostCount.Store(1)
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -49,6 +49,7 @@
 		parts          []cachePart
 		bootEpoch      uint64
 		abandonedCount int
+		reportCount    int
 		// running is the number of requests that take room, turnedAway holds when one was turned away for want of it, and
 		// brittleLimit is the number of such in a second that a brittle endpoint bears.
 		running      int
@@ -207,6 +208,13 @@
 	return ep.stoppedAt
 }
 
+// SetSoftwareVersion changes the version of the endpoint's software. It is called while the endpoint is stopped.
+func (ep *Endpoint) SetSoftwareVersion(version string) {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	ep.opts.SoftwareVersion = version
+}
+
 // Restart starts a stopped endpoint with the same ID and a new start time. It listens on the same address
 // unless another process has taken it in the meantime. The recorded requests are kept. Restart does nothing
 // while the endpoint is running.
@@ -310,7 +318,7 @@
 	ep.announce(w.Header())
 	switch rq.URL.Path {
 	case "/report":
-		ep.handleReport(w)
+		ep.handleReport(w, rq)
 	case "/order":
 		ep.handleOrder(w, rq)
 	case "/kv-events":
@@ -488,8 +496,11 @@
 
 func (ep *Endpoint) wholeEvent(rq *http.Request, i int) string {
 	data := fmt.Sprintf("%s event %d", rq.Header.Get("X-Request-Id"), i)
-	if ep.opts.SoftwareVersion != "" {
-		data += " of " + ep.opts.SoftwareVersion
+	ep.mu.Lock()
+	version := ep.opts.SoftwareVersion
+	ep.mu.Unlock()
+	if version != "" {
+		data += " of " + version
 	}
 	return fmt.Sprintf("id: %d\ndata: %s\n\n", i, data)
 }
--- a/internal/standin/site/engine.go
+++ b/internal/standin/site/engine.go
@@ -6,11 +6,16 @@
 	"time"
 )
 
-func (ep *Endpoint) handleReport(w http.ResponseWriter) {
+func (ep *Endpoint) handleReport(w http.ResponseWriter, rq *http.Request) {
 	ep.mu.Lock()
 	defer ep.mu.Unlock()
+	ep.reportCount++
+	if expected := rq.Header.Get("X-Expect-Instance"); expected != "" && expected != ep.id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	writeJSON(w, http.StatusOK, map[string]any{
-		"stage": "both", "busy": false, "seq": len(ep.orders),
+		"stage": "both", "busy": false, "seq": len(ep.orders), "born": ep.startTimeMs,
 		"models": []map[string]any{{"name": ep.opts.Model, "version": ep.weightVersion, "adapters": []string{}}},
 	})
 }
@@ -39,3 +44,10 @@
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
+
+// ReportCount returns the number of calls that asked the endpoint for its state.
+func (ep *Endpoint) ReportCount() int {
+	ep.mu.Lock()
+	defer ep.mu.Unlock()
+	return ep.reportCount
+}
