gateway: an answer that ends with its connection is whole only if its endpoint lives

Callers saw streams that ended as complete after some of their events, and bodies of which half was missing, with a Content-Length that the host had added.

A process that is killed ends its connections in order, like one that has finished its answer. The host took the end of a connection between two events, or anywhere in a body, for the end of an answer that has neither a length nor chunks.

Such an answer is now whole only if the same start of its endpoint lived after the end: another connection that was opened before the end is still open 20 ms later, or the endpoint says so when asked. Otherwise a stream that may be resumed goes on after its last event, which completes one that was whole; a request that may be repeated is repeated as long as nothing has been forwarded; any other ends with 502, or with a cut connection if a part has been forwarded. Answers with a length or chunks cost nothing more. "Request ended." tells in whole-by what showed that an answer was whole.

The endpoints of other tests in the package now answer the question which start they are; their checks are the same.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -59,6 +59,8 @@
 		targets map[Target]*targetConns
 		// checks holds the targets of which the start is being checked.
 		checks map[Target]*startChecks
+		// open holds the connections that are idle or in use.
+		open openConns
 	}
 
 	// Target identifies one start of an endpoint. Connections to an earlier or later start are never used
@@ -86,6 +88,8 @@
 		idleTimeout time.Duration
 		idleSince   time.Time
 		requests    int
+		openedAt    time.Time
+		onClose     func()
 	}
 
 	// Response is the response to a request. Its body is read with Read, and Close must be called.
@@ -107,7 +111,9 @@
 		stopCancel func() bool
 		writeDone  chan error
 		bodyRead   bool
-		closeOnce  sync.Once
+		// openAt is when the endpoint was last known not to have closed the connection.
+		openAt    time.Time
+		closeOnce sync.Once
 	}
 )
 
@@ -137,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rs := &Response{pool: po, target: target, conn: cn, method: method, Reused: cn.requests > 0}
+	rs := &Response{pool: po, target: target, conn: cn, method: method, Reused: cn.requests > 0, openAt: po.opts.Clock.Now()}
 	cn.requests++
 	rs.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	if err := rs.write(head, body); err != nil {
@@ -193,6 +199,7 @@
 			continue
 		}
 		rs.rsp, rs.Status, rs.Header, rs.bodyRead = rsp, rsp.StatusCode, rsp.Header, false
+		rs.noteOpen()
 		return nil
 	}
 }
@@ -200,6 +207,9 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (rs *Response) Read(p []byte) (int, error) {
 	n, err := rs.rsp.Body.Read(p)
+	if err == nil {
+		rs.noteOpen()
+	}
 	switch {
 	case errors.Is(err, io.EOF) && !rs.hasDelimitedBody() && isReset(rs.conn.Conn):
 		err = rs.BrokenError(syscall.ECONNRESET)
@@ -329,7 +339,10 @@
 	if po.opts.OnOpen != nil {
 		po.opts.OnOpen()
 	}
-	return newConn(raw), nil
+	cn := newConn(raw)
+	cn.openedAt = po.opts.Clock.Now()
+	po.open.add(target, cn)
+	return cn, nil
 }
 
 func newConn(raw net.Conn) *conn {
@@ -357,47 +370,6 @@
 	}
 }
 
-// isIdleAndOpen reports whether an idle connection is open and has no unread bytes. Unread bytes belong
-// to no request, and EOF means that the endpoint has closed the connection.
-func isIdleAndOpen(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(rerr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
-
-// isReset reports whether a connection of which the end has been read was reset. The kernel reports a reset to
-// only one call: if a concurrent write has received the error, reads return io.EOF.
-func isReset(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	reset := false
-	err = raw.Control(func(fd uintptr) {
-		// A connection that the peer has closed still has a peer; one that was reset has none.
-		_, perr := syscall.Getpeername(int(fd))
-		reset = errors.Is(perr, syscall.ENOTCONN)
-	})
-	return err != nil || reset
-}
-
 // idleTimeout returns how long a connection may stay idle after a response with header hd.
 func idleTimeout(hd http.Header) time.Duration {
 	for _, param := range strings.Split(hd.Get("Keep-Alive"), ",") {
--- /dev/null
+++ b/internal/attempt/end.go
@@ -0,0 +1,122 @@
+package attempt
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const errEndedWithStart = startError("the response ended with its connection, and the endpoint has ended")
+
+// witnessDelay is how long after the end of an answer other connections are looked at. The kernel of a process that is killed
+// closes them all, one after the other.
+const witnessDelay = 20 * time.Millisecond
+
+// EndEvidence is what shows that an answer is whole.
+type EndEvidence string
+
+const (
+	// Delimited means that the answer has a length or chunks.
+	Delimited EndEvidence = "length-or-chunks"
+	// OtherConnection means that an older connection to the endpoint outlived the one that ended the answer.
+	OtherConnection EndEvidence = "other-connection"
+	// SameStart means that the endpoint was asked after the end, and still is the same start.
+	SameStart EndEvidence = "same-start"
+)
+
+// openConns holds the open connections to each target.
+type openConns struct {
+	mu    sync.Mutex
+	conns map[Target]map[*conn]struct{}
+}
+
+func (oc *openConns) add(target Target, cn *conn) {
+	oc.mu.Lock()
+	defer oc.mu.Unlock()
+	if oc.conns == nil {
+		oc.conns = make(map[Target]map[*conn]struct{})
+	}
+	if oc.conns[target] == nil {
+		oc.conns[target] = make(map[*conn]struct{})
+	}
+	oc.conns[target][cn] = struct{}{}
+	cn.onClose = func() { oc.remove(target, cn) }
+}
+
+func (oc *openConns) remove(target Target, cn *conn) {
+	oc.mu.Lock()
+	defer oc.mu.Unlock()
+	delete(oc.conns[target], cn)
+	if len(oc.conns[target]) == 0 {
+		delete(oc.conns, target)
+	}
+}
+
+// openedBy returns whether a connection to a target, other than except, was opened by the time t, and whether one of these has not
+// been closed by the endpoint.
+func (oc *openConns) openedBy(target Target, except *conn, t time.Time) (exists, isOpen bool) {
+	oc.mu.Lock()
+	defer oc.mu.Unlock()
+	for cn := range oc.conns[target] {
+		if cn == except || cn.openedAt.After(t) {
+			continue
+		}
+		exists = true
+		if isEstablished(cn.Conn) {
+			return true, true
+		}
+	}
+	return exists, false
+}
+
+// Close closes the connection.
+func (cn *conn) Close() error {
+	if cn.onClose != nil {
+		cn.onClose()
+	}
+	return cn.Conn.Close()
+}
+
+// IsDelimited reports whether the end of the body is marked by something else than the end of the connection.
+func (rs *Response) IsDelimited() bool { return rs.method == http.MethodHead || rs.hasDelimitedBody() }
+
+// ConfirmEnd tells, once Read has returned io.EOF, what shows that the response is whole. A process that is killed ends its
+// connections like one that has finished, so a response that ends with its connection is whole only if the endpoint lives on. It
+// fails with a *BrokenError if the endpoint has ended, or does not say in time that it has not.
+func (rs *Response) ConfirmEnd(ctx context.Context) (EndEvidence, error) {
+	if rs.IsDelimited() {
+		return Delimited, nil
+	}
+	po := rs.pool
+	if exists, _ := po.open.openedBy(rs.target, rs.conn, rs.openAt); exists {
+		select {
+		case <-po.opts.Clock.After(witnessDelay):
+		case <-ctx.Done():
+			return "", rs.BrokenError(ctx.Err())
+		}
+		if _, isOpen := po.open.openedBy(rs.target, rs.conn, rs.openAt); isOpen {
+			return OtherConnection, nil
+		}
+	}
+	switch state, err := po.CheckStart(ctx, rs.target); state {
+	case StartAlive:
+		return SameStart, nil
+	case StartEnded:
+		return "", rs.BrokenError(errEndedWithStart)
+	default:
+		return "", rs.BrokenError(errors.Wrap(err, "the response ended with its connection, and the endpoint does not say whether it lives"))
+	}
+}
+
+// noteOpen records that the endpoint had not closed the connection of a response without a length yet.
+func (rs *Response) noteOpen() {
+	if rs.IsDelimited() {
+		return
+	}
+	if now := rs.pool.opts.Clock.Now(); isEstablished(rs.conn.Conn) {
+		rs.openAt = now
+	}
+}
--- a/internal/gateway/client_test.go
+++ b/internal/gateway/client_test.go
@@ -51,7 +51,7 @@
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
 	return gateway.Options{
-		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{}), Cache: cachedir.New(ck),
+		Clock: ck, Codec: platform.Codec{}, Fleet: fl, Pool: attempt.NewPool(attempt.Options{StartCodec: platform.StartCodec{}}), Cache: cachedir.New(ck),
 		Budget: retry.NewWindowBudget(ck, retry.Limits{Window: time.Second}), Quarantine: quarantine.NewTracker(ck),
 		Parts: quarantine.NewPartTracker(quarantine.PartOptions{Clock: ck, Host: "host"}), Log: lg, Meter: nopMeter{}, Zone: "here",
 		HostCount: func() int { return 1 }, TargetVersion: func(string) uint64 { return 0 },
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -124,7 +124,11 @@
 }
 
 func (fw *forwarder) logFields() logrus.Fields {
-	return logrus.Fields{"endpoint": fw.endpointID, "sent": fw.sent, "rejected": fw.rejected, "unsent": fw.unsent}
+	fields := logrus.Fields{"endpoint": fw.endpointID, "sent": fw.sent, "rejected": fw.rejected, "unsent": fw.unsent}
+	if fw.endEvidence != "" {
+		fields["whole-by"] = string(fw.endEvidence)
+	}
+	return fields
 }
 
 // recordFailedAttempt counts and logs a failed attempt.
--- a/internal/gateway/faulty_endpoint_test.go
+++ b/internal/gateway/faulty_endpoint_test.go
@@ -67,6 +67,10 @@
 		if _, err := io.Copy(io.Discard, rq.Body); err != nil {
 			return
 		}
+		if rq.URL.Path == "/report" {
+			_, _ = io.WriteString(cn, startAnswer)
+			continue
+		}
 		if i > 0 {
 			ke.reused.Add(1)
 		}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -72,6 +72,8 @@
 		resetOnAbort bool
 		// lastEventID is the ID of the last event that the client received; empty if none.
 		lastEventID string
+		// endEvidence is what shows that the last response is whole; empty if nothing does.
+		endEvidence attempt.EndEvidence
 		// hasUnnumberedEvents is set once the client has received an event of a stream without IDs. No other endpoint can
 		// continue such a stream.
 		hasUnnumberedEvents bool
@@ -300,7 +302,7 @@
 	if rq.route.Kind == catalog.Streaming && rs.Status == http.StatusOK {
 		step, oc, err = fw.relayStream(ctx, clientCtx, rs, me, pl, fi)
 	} else {
-		step, oc, err = fw.relayResponse(rs, me, pl)
+		step, oc, err = fw.relayResponse(ctx, rs, me, pl)
 	}
 	fi.End(fw.healthOutcome(ctx, clientCtx, oc), coldFor)
 	if step == stepRetry || step == stepGiveUp {
--- a/internal/gateway/parts_test.go
+++ b/internal/gateway/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -55,6 +56,10 @@
 	if err != nil {
 		return
 	}
+	if rq.URL.Path == "/report" {
+		_, _ = io.WriteString(cn, startAnswer)
+		return
+	}
 	if strings.Contains(rq.Header.Get("X-Prompt-Prefix"), deadlyPart) {
 		fe.stop()
 		if fe.lastResponse != "" {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -145,7 +145,7 @@
 	if rq.route.IsStream() && rs.Status == http.StatusOK {
 		step, _, err = fw.relayStream(ctx, clientCtx, rs, me, pl, nil)
 	} else {
-		step, _, err = fw.relayResponse(rs, me, pl)
+		step, _, err = fw.relayResponse(ctx, rs, me, pl)
 	}
 	if step == stepRetry || step == stepGiveUp {
 		fw.recordFailedAttempt(pl, "neighbour-broken", err)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -52,7 +53,7 @@
 
 // relayResponse forwards a response that is not a stream. It holds back the first maxBufferedResponseBytes:
 // if the response breaks off within them, the request can still be retried.
-func (fw *forwarder) relayResponse(rs *attempt.Response, me ResponseMeta, pl plan) (nextStep, fleet.Outcome, error) {
+func (fw *forwarder) relayResponse(ctx context.Context, rs *attempt.Response, me ResponseMeta, pl plan) (nextStep, fleet.Outcome, error) {
 	rq := fw.rq
 	if fw.headerWritten {
 		// The client has the first events of a stream, to which only events may be added.
@@ -74,11 +75,17 @@
 			return stepRetry, outcome, &StatusError{status: rs.Status}
 		}
 	}
+	isLong := len(head) == maxBufferedResponseBytes
+	if !isLong {
+		if err := fw.confirmEnd(ctx, rs); err != nil {
+			return fw.retryOrGiveUp(err)
+		}
+	}
 	fw.gw.opts.Meter.ObserveFirstToken(rq.route.Name, fw.gw.opts.Clock.Now().Sub(rq.arrived))
 	hd := fw.w.Header()
 	fw.copyHeader(rs)
-	if len(head) == maxBufferedResponseBytes {
-		return fw.relayLongResponse(rs, head, pl, outcome)
+	if isLong {
+		return fw.relayLongResponse(ctx, rs, head, pl, outcome)
 	}
 	hd.Set("Content-Length", strconv.Itoa(len(head)))
 	fw.w.WriteHeader(rs.Status)
@@ -93,9 +100,9 @@
 }
 
 // relayLongResponse forwards a response that is longer than head, its first bytes, as it arrives. If the
-// response breaks off or exceeds maxResponseBytes, the client's connection is cut, so that the client does
+// response breaks off, may have, or exceeds maxResponseBytes, the client's connection is cut, so that the client does
 // not take it for complete.
-func (fw *forwarder) relayLongResponse(rs *attempt.Response, head []byte, pl plan, outcome fleet.Outcome) (nextStep, fleet.Outcome, error) {
+func (fw *forwarder) relayLongResponse(ctx context.Context, rs *attempt.Response, head []byte, pl plan, outcome fleet.Outcome) (nextStep, fleet.Outcome, error) {
 	if length := rs.BodyLength(); length >= 0 {
 		fw.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
@@ -118,6 +125,9 @@
 	case limited.N <= 0:
 		return stepGiveUp, fleet.Failed, errResponseSize
 	}
+	if err := fw.confirmEnd(ctx, rs); err != nil {
+		return stepGiveUp, fleet.Failed, err
+	}
 	fw.recordEndWithPlan("answered", rs.Status, nil, pl)
 	return stepDone, outcome, nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,9 +45,10 @@
 	for {
 		event, err := readEvent(br)
 		switch {
-		case errors.Is(err, io.EOF) && len(event) == 0 && !begun && fw.hasEndpointStopped(ctx, pl):
-			return fw.retryOrGiveUp(rs.BrokenError(errNoEvent))
 		case errors.Is(err, io.EOF) && len(event) == 0:
+			if err := fw.confirmStreamEnd(ctx, rs, pl, begun); err != nil {
+				return fw.retryOrGiveUp(err)
+			}
 			fw.writeHeader(rs)
 			fw.recordStreamEnd(pl)
 			return stepDone, fleet.Succeeded, nil
@@ -105,11 +106,6 @@
 	}
 }
 
-// hasEndpointStopped reports whether the endpoint of an attempt accepts no connections any more.
-func (fw *forwarder) hasEndpointStopped(ctx context.Context, pl plan) bool {
-	return fw.gw.opts.Pool.RefusesConnections(ctx, pl.target())
-}
-
 // writeHeader writes the response header of the first endpoint that streams, once.
 func (fw *forwarder) writeHeader(rs *attempt.Response) {
 	if fw.headerWritten {
--- a/internal/gateway/undelimited_test.go
+++ b/internal/gateway/undelimited_test.go
@@ -19,17 +19,21 @@
 
 const (
 	undelimitedHeader = "HTTP/1.1 200 OK\r\n" + sealedHeader + "\r\n"
+	startAnswer       = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":0}"
 	firstEvents       = "id: 1\ndata: one\n\nid: 2\ndata: two three\n\n"
 )
 
 type (
 	// scriptedEndpoint sends the parts of its response to each request and closes the connection, with a reset
 	// if isReset is set. Before each part but the first, and before the end, it receives from proceed unless
-	// that is nil. It counts the connections on which it has read a request.
+	// that is nil. If isKilled is set, it stops listening before it closes the connection, and if isMute is set, it does not say
+	// which start it is. It counts the connections on which it has read a request.
 	scriptedEndpoint struct {
 		listener net.Listener
 		parts    []string
 		isReset  bool
+		isKilled bool
+		isMute   bool
 		proceed  chan struct{}
 		opened   atomic.Int64
 	}
@@ -64,6 +68,13 @@
 	if err != nil {
 		return
 	}
+	if rq.URL.Path == "/report" {
+		if se.isMute {
+			_, _ = io.Copy(io.Discard, cn)
+		}
+		_, _ = io.WriteString(cn, startAnswer)
+		return
+	}
 	se.opened.Add(1)
 	for i, part := range se.parts {
 		if i > 0 && se.proceed != nil {
@@ -76,6 +87,9 @@
 	if se.proceed != nil {
 		<-se.proceed
 	}
+	if se.isKilled {
+		_ = se.listener.Close()
+	}
 	if tcp, ok := cn.(*net.TCPConn); ok && se.isReset {
 		_ = tcp.SetLinger(0)
 	}
@@ -174,6 +188,58 @@
 	}
 }
 
+// Guards against taking the end of the connection of a killed process for the end of its response.
+func TestResponseThatEndsWithItsEndpointIsNotComplete(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 20<<10)
+	half := long[:len(long)/2+1]
+	failed := strings.Replace(undelimitedHeader, "200 OK", "404 Not Found", 1)
+	for name, tc := range map[string]struct {
+		path, response string
+		// status is 200 if a part of the response may reach the client, and then body is what reaches it at most.
+		status int
+		body   string
+	}{
+		"plain":                      {"/pay", undelimitedHeader + "the bo", 502, ""},
+		"plain without body":         {"/pay", undelimitedHeader, 502, ""},
+		"failure":                    {"/pay", failed + "the bo", 502, ""},
+		"long":                       {"/pay", undelimitedHeader + half, 200, half},
+		"plain that fills a buffer":  {"/pay", undelimitedHeader + long[:128<<10], 200, long[:128<<10]},
+		"stream between events":      {"/stream/", undelimitedHeader + firstEvents, 200, firstEvents},
+		"stream before events":       {"/stream/", undelimitedHeader, 502, ""},
+		"stream after a comment":     {"/stream/", undelimitedHeader + firstEvents + ": wait\n\n", 200, firstEvents + ": wait\n\n"},
+		"stream of unnamed events":   {"/stream/", undelimitedHeader + "data: one\n\n", 200, "data: one\n\n"},
+		"stream of HTTP/1.0":         {"/stream/", strings.Replace(undelimitedHeader, "HTTP/1.1", "HTTP/1.0", 1) + firstEvents, 200, firstEvents},
+		"failure of a stream":        {"/stream/", failed + "the bo", 502, ""},
+		"stream of a later response": {"/stream/", strings.Replace(undelimitedHeader, "200 OK", "201 Created", 1) + firstEvents, 502, ""},
+	} {
+		for _, version := range []string{"1.1", "1.0"} {
+			for cause, se := range map[string]*scriptedEndpoint{"killed": {isKilled: true}, "mute": {isMute: true}} {
+				t.Run(name+", HTTP "+version+", "+cause, func(t *testing.T) {
+					t.Parallel()
+					se.parts, se.proceed = []string{tc.response}, make(chan struct{})
+					if tc.status != http.StatusOK {
+						close(se.proceed)
+					}
+					cn, br := dialClient(t, startScriptedGateway(t, se))
+					re := exchange(t, cn, br, version, tc.path, func() {
+						if tc.status == http.StatusOK {
+							close(se.proceed)
+						}
+					})
+					require.Equal(t, tc.status, re.StatusCode)
+					if tc.status != http.StatusOK {
+						require.NoError(t, re.err)
+						require.Empty(t, re.Header.Get("X-Response-Seal"))
+						return
+					}
+					require.Error(t, re.err, "a partial response must not look complete")
+					require.True(t, strings.HasPrefix(tc.body, re.body), "the client received %q", re.body)
+				})
+			}
+		}
+	}
+}
+
 func TestResponseThatEndsWithItsConnectionIsDelivered(t *testing.T) {
 	long := strings.Repeat("0123456789abcdef", 20<<10)
 	for name, tc := range map[string]struct {
--- a/internal/node/serve_test.go
+++ b/internal/node/serve_test.go
@@ -84,6 +84,7 @@
 	faults := []site.EndpointFault{
 		site.NoEndpointFault, site.ShedLoad, site.ResetConnection, site.TruncateResponse, site.OmitSeal, site.WrongResponseFirst, site.ExtraResponse, site.RespondBeforeBody, site.InternalError,
 		site.CloseDelimited, site.ResetCloseDelimited, site.EndInsideEvent, site.EndChunksInsideEvent,
+		site.RepeatEvent, site.SkipEvent,
 	}
 	for _, uri := range []string{"/pay/1", "/look/1", "/note/1", "/query/1"} {
 		for _, fault := range faults {
@@ -150,6 +151,7 @@
 	"connection ended within an event":       site.EndInsideEvent,
 	"connection reset between two events":    site.ResetCloseDelimited,
 	"endpoint crashed while within an event": site.CrashInsideEvent,
+	"endpoint killed between two events":     site.KillCloseDelimited,
 }
 
 // wholeStream is the body of a stream that is complete.
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -34,6 +34,7 @@
 		mu            sync.Mutex
 		server        *http.Server
 		listener      net.Listener
+		tracked       *trackedListener
 		id            string
 		startTimeMs   int64
 		stoppedAt     time.Time
@@ -159,6 +160,14 @@
 	// FailResumedStream responds with status 500 to a request that resumes a stream, and acts as
 	// TruncateResponse on another.
 	FailResumedStream
+	// KillCloseDelimited kills the process in the middle of a response without Content-Length, between two events of a stream.
+	KillCloseDelimited
+	// KillAfterBody kills the process after the whole of a response without Content-Length.
+	KillAfterBody
+	// RepeatEvent resumes a stream with the event before, and acts as TruncateResponse on another request.
+	RepeatEvent
+	// SkipEvent resumes a stream after the next event, and acts as TruncateResponse on another request.
+	SkipEvent
 )
 
 // eventsBeforeFault is the number of events before a fault that breaks off a stream.
@@ -178,8 +187,9 @@
 // serve serves requests that arrive at ln.
 func (ep *Endpoint) serve(ln net.Listener) {
 	srv := &http.Server{Handler: ep, ReadHeaderTimeout: time.Second}
-	ep.server, ep.listener, ep.closed, ep.stoppedAt = srv, ln, make(chan struct{}), time.Time{}
-	go func() { _ = srv.Serve(ln) }()
+	tl := &trackedListener{Listener: ln}
+	ep.server, ep.listener, ep.tracked, ep.closed, ep.stoppedAt = srv, ln, tl, make(chan struct{}), time.Time{}
+	go func() { _ = srv.Serve(tl) }()
 }
 
 // Address returns the listen address.
@@ -409,10 +419,10 @@
 	case InternalError:
 		w.WriteHeader(http.StatusInternalServerError)
 		return
-	case WrongResponseFirst, ExtraResponse, CloseDelimited, ResetCloseDelimited, EndInsideEvent, CrashInsideEvent:
+	case WrongResponseFirst, ExtraResponse, CloseDelimited, ResetCloseDelimited, EndInsideEvent, CrashInsideEvent, KillCloseDelimited, KillAfterBody:
 		ep.writeRaw(w, rq, fault)
 		return
-	case NoEndpointFault, ShedLoad, TruncateResponse, RespondBeforeBody, EndChunksInsideEvent, FailResumedStream:
+	case NoEndpointFault, ShedLoad, TruncateResponse, RespondBeforeBody, EndChunksInsideEvent, FailResumedStream, RepeatEvent, SkipEvent:
 	}
 	if ep.opts.EventCount > 0 {
 		if crashes {
@@ -460,6 +470,14 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	rc := http.NewResponseController(w)
 	first := firstEvent(rq)
+	switch isResumed := rq.Header.Get("Last-Event-Id") != ""; {
+	case fault == RepeatEvent && isResumed:
+		first--
+	case fault == SkipEvent && isResumed:
+		first++
+	case fault == RepeatEvent, fault == SkipEvent:
+		fault = TruncateResponse
+	}
 	for i := first; i <= ep.opts.EventCount; i++ {
 		if (fault == TruncateResponse || fault == EndChunksInsideEvent) && i == first+eventsBeforeFault {
 			_, _ = io.WriteString(w, partialEvent(i))
@@ -511,7 +529,7 @@
 func (ep *Endpoint) undelimitedBody(rq *http.Request, fault EndpointFault) string {
 	if ep.opts.EventCount == 0 {
 		body := "body of " + rq.Header.Get("X-Request-Id")
-		if fault == ResetCloseDelimited {
+		if fault == ResetCloseDelimited || fault == KillCloseDelimited {
 			return body[:len(body)/2]
 		}
 		return body
@@ -519,8 +537,8 @@
 	body := ""
 	first := firstEvent(rq)
 	for i := first; i <= ep.opts.EventCount; i++ {
-		if fault != CloseDelimited && i == first+eventsBeforeFault {
-			if fault != ResetCloseDelimited {
+		if fault != CloseDelimited && fault != KillAfterBody && i == first+eventsBeforeFault {
+			if fault != ResetCloseDelimited && fault != KillCloseDelimited {
 				body += partialEvent(i)
 			}
 			break
@@ -557,10 +575,12 @@
 	_ = buf.Flush()
 	switch fault {
 	case ResetCloseDelimited:
-		if tc, ok := conn.(*net.TCPConn); ok {
+		if tc, ok := conn.(*trackedConn); ok {
 			_ = tc.SetLinger(0)
 		}
 	case CrashInsideEvent:
 		ep.Close()
+	case KillCloseDelimited, KillAfterBody:
+		ep.Kill()
 	}
 }
