gateway: an endpoint that continues a stream begins with the next event

Callers could miss an event, or get one twice, where a second endpoint continued the stream of the first.

Numbers had to ascend only, so what the second endpoint left out passed; identifiers that are no numbers passed always.

The first event after a take-over must now be the next number if the numbers of the answer went up by one so far. Numbers that have gaps by themselves need only ascend, as the protocol promises no more. Another identifier must not be that of the last event again. "Request ended." counts the gaps between numbers in id-gaps.

--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -128,6 +128,9 @@
 	if fw.endEvidence != "" {
 		fields["whole-by"] = string(fw.endEvidence)
 	}
+	if fw.order.steps > 0 {
+		fields["id-gaps"] = fw.order.gaps
+	}
 	return fields
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -70,8 +70,8 @@
 		// resetOnAbort is set if the client uses HTTP/1.0, which has no chunks: there the end of the
 		// connection may be the end of a complete response, and only a reset is not.
 		resetOnAbort bool
-		// lastEventID is the ID of the last event that the client received; empty if none.
-		lastEventID string
+		// order is that of the events that the client received.
+		order eventOrder
 		// endEvidence is what shows that the last response is whole; empty if nothing does.
 		endEvidence attempt.EndEvidence
 		// hasUnnumberedEvents is set once the client has received an event of a stream without IDs. No other endpoint can
@@ -103,7 +103,7 @@
 // again, and ends it.
 func (fw *forwarder) run(clientCtx context.Context) {
 	gw, rq := fw.gw, fw.rq
-	fw.lastEventID = rq.LastEventID
+	fw.order = newEventOrder(rq.LastEventID)
 	if rq.relayedFrom == nil {
 		gw.opts.Budget.RecordRequest(rq.service.Name)
 	} else {
@@ -218,7 +218,7 @@
 	pl.sentAt = gw.opts.Clock.Now()
 	fw.recordFetches(pl)
 	pl.delivery.Remaining = rq.deadline.Sub(gw.opts.Clock.Now())
-	pl.delivery.LastEventID = fw.lastEventID
+	pl.delivery.LastEventID = fw.order.lastID
 	target := pl.target()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,13 +23,15 @@
 )
 
 var (
-	eventIDField  = []byte("id:")
-	dataField     = []byte("data:")
-	errEventOrder = forwardError("the event ID does not follow the last one of the stream")
-	errNoEventID  = forwardError("the event that continues the stream has no ID")
-	errEventSize  = forwardError("the event exceeds the size limit")
-	errNoEvent    = forwardError("the stream ended before its first event, and the endpoint has stopped")
-	errEventEnd   = forwardError("the stream ended within an event")
+	eventIDField     = []byte("id:")
+	dataField        = []byte("data:")
+	errEventOrder    = forwardError("the event ID does not follow the last one of the stream")
+	errEventMissing  = forwardError("the event that continues the stream is not the next one")
+	errEventRepeated = forwardError("the event that continues the stream is the last one again")
+	errNoEventID     = forwardError("the event that continues the stream has no ID")
+	errEventSize     = forwardError("the event exceeds the size limit")
+	errNoEvent       = forwardError("the stream ended before its first event, and the endpoint has stopped")
+	errEventEnd      = forwardError("the stream ended within an event")
 )
 
 // relayStream forwards the events of a response as they arrive. It forwards only whole events, so that a
@@ -65,10 +66,12 @@
 			fw.observeFetches(pl)
 		}
 		id, hasID := eventID(event)
-		switch {
-		case hasID && !fw.isNextEvent(id):
-			return fw.retryOrGiveUp(errEventOrder)
-		case !hasID && continues && !begun && !isComment(event):
+		if hasID {
+			if err := fw.order.Check(id, !begun); err != nil {
+				return fw.retryOrGiveUp(err)
+			}
+		}
+		if !hasID && continues && !begun && !isComment(event) {
 			return fw.retryOrGiveUp(errNoEventID)
 		}
 		if hasID || hasData(event) {
@@ -96,8 +99,8 @@
 		fw.events++
 		switch {
 		case hasID:
-			fw.lastEventID = id
-		case fw.lastEventID == "" && !isComment(event):
+			fw.order.Record(id)
+		case fw.order.lastID == "" && !isComment(event):
 			fw.hasUnnumberedEvents = true
 		}
 		if clientCtx.Err() != nil || ctx.Err() != nil {
@@ -124,20 +127,6 @@
 	return stepGiveUp, fleet.Failed, err
 }
 
-// isNextEvent reports whether an event may follow the last forwarded one. IDs that are numbers must
-// ascend.
-func (fw *forwarder) isNextEvent(id string) bool {
-	if fw.lastEventID == "" {
-		return true
-	}
-	lastID, err := strconv.ParseUint(fw.lastEventID, 10, 64)
-	if err != nil {
-		return true
-	}
-	nextID, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && nextID > lastID
-}
-
 func (fw *forwarder) recordStreamEnd(pl plan) {
 	fw.recordEndWithPlan("answered", http.StatusOK, nil, pl)
 }
--- a/internal/node/answer_end_test.go
+++ b/internal/node/answer_end_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -70,6 +71,27 @@
 	}
 }
 
+// Guards against events that an endpoint leaves out, or sends again, where it continues the stream of another.
+func TestStreamThatIsContinuedAtTheWrongEventIsCut(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]site.EndpointFault{"repeats the last": site.RepeatEvent, "leaves out the next": site.SkipEvent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t, 2, 0)
+			env.writeConfiguration()
+			no := env.startReadyHost("host-1")
+			for _, ep := range env.engines {
+				ep.InjectFaults(fault)
+			}
+			requestID := env.requestID()
+			re := env.send(no, http.MethodPost, "/query/1", requestID, "", promptHeaders())
+			require.False(t, re.complete)
+			require.True(t, strings.HasPrefix(wholeStream(requestID), re.body), "the client received %q", re.body)
+			require.Len(t, env.runsOf(requestID), 2)
+		})
+	}
+}
+
 // Guards against asking an endpoint for its state after each of its answers: only one without a length needs it, and only if no
 // other connection shows that it lives.
 func TestEndpointIsAskedAfterAnswersWithoutLengthOnly(t *testing.T) {
