gateway: a stream is not continued after events without identifiers

Callers could get an event twice: one without an identifier that followed one with an identifier came again from the endpoint that continued the stream after the latter. An empty identifier counted as one.

A stream goes on at another endpoint only if nothing that the client has received follows the last identifier. An event with an identifier makes that possible again.

On the code before, "after an event with ID" and "with an empty ID" of TestStreamWithoutEventIDsIsNotContinued fail.

--- a/internal/gateway/faulty_endpoint_test.go
+++ b/internal/gateway/faulty_endpoint_test.go
@@ -211,7 +211,10 @@
 // Guards against a stream that another endpoint begins anew in the middle, as none of its events has an ID.
 func TestStreamWithoutEventIDsIsNotContinued(t *testing.T) {
 	const begun = "HTTP/1.1 200 OK\r\n" + sealedHeader + "\r\ndata: one\n\ndata: tw" + closeMark
-	for name, first := range map[string]string{"events": begun, "after a comment": strings.Replace(begun, "data", ": hold on\n\ndata", 1)} {
+	for name, first := range map[string]string{
+		"events": begun, "after a comment": strings.Replace(begun, "data", ": hold on\n\ndata", 1),
+		"with an empty ID": strings.Replace(begun, "data", "id:\ndata", 1), "after an event with ID": strings.Replace(begun, "data: one", "id: 1\ndata: zero\n\ndata: one", 1),
+	} {
 		t.Run(name, func(t *testing.T) {
 			one, other := startKeptEndpoint(t, first), startKeptEndpoint(t, first)
 			rsp := requestOnce(t, startGatewayTo(t, clock.System(), one, other), "/query/", "stream")
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -74,8 +74,8 @@
 		order eventOrder
 		// endEvidence is what shows that the last response is whole; empty if nothing does.
 		endEvidence attempt.EndEvidence
-		// hasUnnumberedEvents is set once the client has received an event of a stream without IDs. No other endpoint can
-		// continue such a stream.
+		// hasUnnumberedEvents is set while the client has received an event without an ID after the last one with an ID. No
+		// other endpoint can continue the stream there.
 		hasUnnumberedEvents bool
 		// events counts the events written to the client.
 		events int
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -100,7 +100,8 @@
 		switch {
 		case hasID:
 			fw.order.Record(id)
-		case fw.order.lastID == "" && !isComment(event):
+			fw.hasUnnumberedEvents = false
+		case hasData(event) || (fw.order.lastID == "" && !isComment(event)):
 			fw.hasUnnumberedEvents = true
 		}
 		if clientCtx.Err() != nil || ctx.Err() != nil {
@@ -175,11 +176,12 @@
 	return true
 }
 
-// eventID returns the ID of an event; ok is false if it has none.
+// eventID returns the ID of an event; ok is false if it has none, or an empty one, after which no stream can resume.
 func eventID(event []byte) (id string, ok bool) {
 	for line := range bytes.Lines(event) {
 		if rest, found := bytes.CutPrefix(line, eventIDField); found {
-			return string(bytes.TrimSpace(rest)), true
+			id = string(bytes.TrimSpace(rest))
+			return id, id != ""
 		}
 	}
 	return "", false
