gateway: a stopping host does not seem to complete the answers of HTTP/1.0 clients

A client of HTTP/1.0 got a stream, or a long body without a length, as complete when its host ended in the middle.

HTTP/1.0 has no chunks, so the end of the connection is the end of the answer. At the end of its time to stop a host closes its connections, and the kernel closes those of a process that is killed, both in order.

While such an answer is being forwarded, closing its connection resets it. That is undone once the whole answer has been written.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -107,6 +107,7 @@
 		fw.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	fw.headerWritten = true
+	fw.setClientLinger(ctx, resetOnClose)
 	fw.w.WriteHeader(rs.Status)
 	if _, err := fw.w.Write(head); err != nil {
 		fw.recordEnd("client-left", rs.Status, err)
@@ -128,6 +129,11 @@
 	if err := fw.confirmEnd(ctx, rs); err != nil {
 		return stepGiveUp, fleet.Failed, err
 	}
+	if err := http.NewResponseController(fw.w).Flush(); err != nil {
+		fw.recordEnd("client-left", rs.Status, err)
+		return stepBreakOff, outcome, nil
+	}
+	fw.setClientLinger(ctx, endOnClose)
 	fw.recordEndWithPlan("answered", rs.Status, nil, pl)
 	return stepDone, outcome, nil
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -51,6 +51,7 @@
 				return fw.retryOrGiveUp(err)
 			}
 			fw.writeHeader(rs)
+			fw.setClientLinger(clientCtx, endOnClose)
 			fw.recordStreamEnd(pl)
 			return stepDone, fleet.Succeeded, nil
 		case errors.Is(err, errEventEnd):
@@ -82,6 +83,9 @@
 			fw.gw.opts.Meter.ObserveFirstToken(fw.rq.route.Name, fw.gw.opts.Clock.Now().Sub(fw.rq.arrived))
 		}
 		fw.recordOrigin(pl, fi)
+		if !fw.headerWritten {
+			fw.setClientLinger(clientCtx, resetOnClose)
+		}
 		fw.writeHeader(rs)
 		if fw.pinnedVersion == 0 {
 			fw.pinnedVersion = pl.delivery.WeightVersion
