--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -47,6 +47,8 @@
 		Dialer Dialer
 		// OnOpen, if not nil, is called for each new connection.
 		OnOpen func()
+		// StartCodec translates the question which start of an endpoint answers; nil means that it can't be asked.
+		StartCodec StartCodec
 	}
 
 	// Pool holds reusable connections to endpoints. It is safe for concurrent use.
@@ -55,6 +57,10 @@
 
 		mu      sync.Mutex
 		targets map[Target]*targetConns
+		// checks holds the targets of which the start is being checked.
+		checks map[Target]*startChecks
+		// open holds the connections that are idle or in use.
+		open openConns
 	}
 
 	// Target identifies one start of an endpoint. Connections to an earlier or later start are never used
@@ -82,6 +88,8 @@
 		idleTimeout time.Duration
 		idleSince   time.Time
 		requests    int
+		openedAt    time.Time
+		onClose     func()
 	}
 
 	// Response is the response to a request. Its body is read with Read, and Close must be called.
@@ -103,7 +111,9 @@
 		stopCancel func() bool
 		writeDone  chan error
 		bodyRead   bool
-		closeOnce  sync.Once
+		// openAt is when the endpoint was last known not to have closed the connection.
+		openAt    time.Time
+		closeOnce sync.Once
 	}
 )
 
@@ -121,7 +131,7 @@
 	if opts.Dialer == nil {
 		opts.Dialer = &net.Dialer{KeepAlive: -1, Control: setUserTimeout}
 	}
-	return &Pool{opts: opts, targets: make(map[Target]*targetConns)}
+	return &Pool{opts: opts, targets: make(map[Target]*targetConns), checks: make(map[Target]*startChecks)}
 }
 
 // Send sends a request, header and body, to target and returns once the header of a response has
@@ -133,7 +143,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rs := &Response{pool: po, target: target, conn: cn, method: method, Reused: cn.requests > 0}
+	rs := &Response{pool: po, target: target, conn: cn, method: method, Reused: cn.requests > 0, openAt: po.opts.Clock.Now()}
 	cn.requests++
 	rs.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	if err := rs.write(head, body); err != nil {
@@ -189,6 +199,7 @@
 			continue
 		}
 		rs.rsp, rs.Status, rs.Header, rs.bodyRead = rsp, rsp.StatusCode, rsp.Header, false
+		rs.noteOpen()
 		return nil
 	}
 }
@@ -196,6 +207,9 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (rs *Response) Read(p []byte) (int, error) {
 	n, err := rs.rsp.Body.Read(p)
+	if err == nil {
+		rs.noteOpen()
+	}
 	switch {
 	case errors.Is(err, io.EOF) && !rs.hasDelimitedBody() && isReset(rs.conn.Conn):
 		err = rs.BrokenError(syscall.ECONNRESET)
@@ -325,8 +339,15 @@
 	if po.opts.OnOpen != nil {
 		po.opts.OnOpen()
 	}
+	cn := newConn(raw)
+	cn.openedAt = po.opts.Clock.Now()
+	po.open.add(target, cn)
+	return cn, nil
+}
+
+func newConn(raw net.Conn) *conn {
 	source := &headerLimitReader{reader: raw}
-	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
 // closeConn closes a connection that is no longer used. The error is of no use: any fault of the
@@ -349,47 +370,6 @@
 	}
 }
 
-// isIdleAndOpen reports whether an idle connection is open and has no unread bytes. Unread bytes belong
-// to no request, and EOF means that the endpoint has closed the connection.
-func isIdleAndOpen(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(rerr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
-
-// isReset reports whether a connection of which the end has been read was reset. The kernel reports a reset to
-// only one call: if a concurrent write has received the error, reads return io.EOF.
-func isReset(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	reset := false
-	err = raw.Control(func(fd uintptr) {
-		// A connection that the peer has closed still has a peer; one that was reset has none.
-		_, perr := syscall.Getpeername(int(fd))
-		reset = errors.Is(perr, syscall.ENOTCONN)
-	})
-	return err != nil || reset
-}
-
 // idleTimeout returns how long a connection may stay idle after a response with header hd.
 func idleTimeout(hd http.Header) time.Duration {
 	for _, param := range strings.Split(hd.Get("Keep-Alive"), ",") {
--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -124,7 +124,14 @@
 }
 
 func (fw *forwarder) logFields() logrus.Fields {
-	return logrus.Fields{"endpoint": fw.endpointID, "sent": fw.sent, "rejected": fw.rejected, "unsent": fw.unsent}
+	fields := logrus.Fields{"endpoint": fw.endpointID, "sent": fw.sent, "rejected": fw.rejected, "unsent": fw.unsent}
+	if fw.endEvidence != "" {
+		fields["whole-by"] = string(fw.endEvidence)
+	}
+	if fw.order.steps > 0 {
+		fields["id-gaps"] = fw.order.gaps
+	}
+	return fields
 }
 
 // recordFailedAttempt counts and logs a failed attempt.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -70,10 +70,12 @@
 		// resetOnAbort is set if the client uses HTTP/1.0, which has no chunks: there the end of the
 		// connection may be the end of a complete response, and only a reset is not.
 		resetOnAbort bool
-		// lastEventID is the ID of the last event that the client received; empty if none.
-		lastEventID string
-		// hasUnnumberedEvents is set once the client has received an event of a stream without IDs. No other endpoint can
-		// continue such a stream.
+		// order is that of the events that the client received.
+		order eventOrder
+		// endEvidence is what shows that the last response is whole; empty if nothing does.
+		endEvidence attempt.EndEvidence
+		// hasUnnumberedEvents is set while the client has received an event without an ID after the last one with an ID. No
+		// other endpoint can continue the stream there.
 		hasUnnumberedEvents bool
 		// events counts the events written to the client.
 		events int
@@ -101,7 +103,7 @@
 // again, and ends it.
 func (fw *forwarder) run(clientCtx context.Context) {
 	gw, rq := fw.gw, fw.rq
-	fw.lastEventID = rq.LastEventID
+	fw.order = newEventOrder(rq.LastEventID)
 	if rq.relayedFrom == nil {
 		gw.opts.Budget.RecordRequest(rq.service.Name)
 	} else {
@@ -216,7 +218,7 @@
 	pl.sentAt = gw.opts.Clock.Now()
 	fw.recordFetches(pl)
 	pl.delivery.Remaining = rq.deadline.Sub(gw.opts.Clock.Now())
-	pl.delivery.LastEventID = fw.lastEventID
+	pl.delivery.LastEventID = fw.order.lastID
 	target := pl.target()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -303,7 +305,7 @@
 	case rq.route.Kind == catalog.Streaming && rs.Status == http.StatusOK:
 		step, oc, err = fw.relayStream(ctx, clientCtx, rs, me, pl, fi)
 	default:
-		step, oc, err = fw.relayResponse(rs, me, pl)
+		step, oc, err = fw.relayResponse(ctx, rs, me, pl)
 	}
 	fi.End(fw.healthOutcome(ctx, clientCtx, oc), coldFor)
 	if step == stepRetry || step == stepGiveUp {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -148,7 +148,7 @@
 	case rq.route.IsStream() && rs.Status == http.StatusOK:
 		step, _, err = fw.relayStream(ctx, clientCtx, rs, me, pl, nil)
 	default:
-		step, _, err = fw.relayResponse(rs, me, pl)
+		step, _, err = fw.relayResponse(ctx, rs, me, pl)
 	}
 	if step == stepRetry || step == stepGiveUp {
 		fw.recordFailedAttempt(pl, "neighbour-broken", err)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,13 +23,15 @@
 )
 
 var (
-	eventIDField  = []byte("id:")
-	dataField     = []byte("data:")
-	errEventOrder = forwardError("the event ID does not follow the last one of the stream")
-	errNoEventID  = forwardError("the event that continues the stream has no ID")
-	errEventSize  = forwardError("the event exceeds the size limit")
-	errNoEvent    = forwardError("the stream ended before its first event, and the endpoint has stopped")
-	errEventEnd   = forwardError("the stream ended within an event")
+	eventIDField     = []byte("id:")
+	dataField        = []byte("data:")
+	errEventOrder    = forwardError("the event ID does not follow the last one of the stream")
+	errEventMissing  = forwardError("the event that continues the stream is not the next one")
+	errEventRepeated = forwardError("the event that continues the stream is the last one again")
+	errNoEventID     = forwardError("the event that continues the stream has no ID")
+	errEventSize     = forwardError("the event exceeds the size limit")
+	errNoEvent       = forwardError("the stream ended before its first event, and the endpoint has stopped")
+	errEventEnd      = forwardError("the stream ended within an event")
 )
 
 // relayStream forwards the events of a response as they arrive. It forwards only whole events, so that a
@@ -45,10 +46,12 @@
 	for {
 		event, err := readEvent(br)
 		switch {
-		case errors.Is(err, io.EOF) && len(event) == 0 && !begun && fw.hasEndpointStopped(ctx, pl):
-			return fw.retryOrGiveUp(rs.BrokenError(errNoEvent))
 		case errors.Is(err, io.EOF) && len(event) == 0:
+			if err := fw.confirmStreamEnd(ctx, rs, pl, begun); err != nil {
+				return fw.retryOrGiveUp(err)
+			}
 			fw.writeHeader(rs)
+			fw.setClientLinger(clientCtx, endOnClose)
 			fw.recordStreamEnd(pl)
 			return stepDone, fleet.Succeeded, nil
 		case errors.Is(err, errEventEnd):
@@ -64,10 +67,12 @@
 			fw.observeFetches(pl)
 		}
 		id, hasID := eventID(event)
-		switch {
-		case hasID && !fw.isNextEvent(id):
-			return fw.retryOrGiveUp(errEventOrder)
-		case !hasID && continues && !begun && !isComment(event):
+		if hasID {
+			if err := fw.order.Check(id, !begun); err != nil {
+				return fw.retryOrGiveUp(err)
+			}
+		}
+		if !hasID && continues && !begun && !isComment(event) {
 			return fw.retryOrGiveUp(errNoEventID)
 		}
 		if hasID || hasData(event) {
@@ -78,6 +83,9 @@
 			fw.gw.opts.Meter.ObserveFirstToken(fw.rq.route.Name, fw.gw.opts.Clock.Now().Sub(fw.rq.arrived))
 		}
 		fw.recordOrigin(pl, fi)
+		if !fw.headerWritten {
+			fw.setClientLinger(clientCtx, resetOnClose)
+		}
 		fw.writeHeader(rs)
 		if fw.pinnedVersion == 0 {
 			fw.pinnedVersion = pl.delivery.WeightVersion
@@ -95,8 +103,9 @@
 		fw.events++
 		switch {
 		case hasID:
-			fw.lastEventID = id
-		case fw.lastEventID == "" && !isComment(event):
+			fw.order.Record(id)
+			fw.hasUnnumberedEvents = false
+		case hasData(event) || (fw.order.lastID == "" && !isComment(event)):
 			fw.hasUnnumberedEvents = true
 		}
 		if clientCtx.Err() != nil || ctx.Err() != nil {
@@ -105,11 +114,6 @@
 	}
 }
 
-// hasEndpointStopped reports whether the endpoint of an attempt accepts no connections any more.
-func (fw *forwarder) hasEndpointStopped(ctx context.Context, pl plan) bool {
-	return fw.gw.opts.Pool.RefusesConnections(ctx, pl.target())
-}
-
 // writeHeader writes the response header of the first endpoint that streams, once.
 func (fw *forwarder) writeHeader(rs *attempt.Response) {
 	if fw.headerWritten {
@@ -128,20 +132,6 @@
 	return stepGiveUp, fleet.Failed, err
 }
 
-// isNextEvent reports whether an event may follow the last forwarded one. IDs that are numbers must
-// ascend.
-func (fw *forwarder) isNextEvent(id string) bool {
-	if fw.lastEventID == "" {
-		return true
-	}
-	lastID, err := strconv.ParseUint(fw.lastEventID, 10, 64)
-	if err != nil {
-		return true
-	}
-	nextID, err := strconv.ParseUint(id, 10, 64)
-	return err == nil && nextID > lastID
-}
-
 func (fw *forwarder) recordStreamEnd(pl plan) {
 	fw.recordEndWithPlan("answered", http.StatusOK, nil, pl)
 }
@@ -190,11 +180,12 @@
 	return true
 }
 
-// eventID returns the ID of an event; ok is false if it has none.
+// eventID returns the ID of an event; ok is false if it has none, or an empty one, after which no stream can resume.
 func eventID(event []byte) (id string, ok bool) {
 	for line := range bytes.Lines(event) {
 		if rest, found := bytes.CutPrefix(line, eventIDField); found {
-			return string(bytes.TrimSpace(rest)), true
+			id = string(bytes.TrimSpace(rest))
+			return id, id != ""
 		}
 	}
 	return "", false
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -121,7 +121,7 @@
 		Name: name, Zone: "here", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		Store: env.store.Address(), Bounds: env.bounds,
 	}, node.Dependencies{
-		Store: store, Decoder: platform.Decoder{}, Codec: platform.Codec{},
+		Store: store, Decoder: platform.Decoder{}, Codec: platform.Codec{}, Starts: platform.StartCodec{},
 		Caches: engines, Engines: engines, Meter: meter, Dialer: dialer,
 	}, lg)
 	require.NoError(env.t, err)
