connection, engine, store: bound responses without end

Callers of a host that serves model engines lost their requests when an engine or a store host sent a body without end: control responses and lookups were read whole with io.ReadAll, and a line of an event with ReadBytes, both without a limit, so the host ran out of memory.

Exchange.ReadAll takes a limit and reserves memory that all bodies of a dialer share (16 MiB); what does not fit is a BrokenError. A control response has at most 64 KiB, a lookup 1 MiB, a response of a service 1 MiB as before. An event, with the lines before it that carry no data, has at most 64 KiB, so comments and empty lines without end break the stream too; before, they held it until its context ended.

--- a/internal/connection/connection.go
+++ b/internal/connection/connection.go
@@ -31,19 +31,23 @@
 		// IdleTimeout is the maximum time without a byte, before the first byte and between bytes; zero
 		// means 10 s.
 		IdleTimeout time.Duration
+		// BodyMemoryBytes bounds the memory of all bodies that ReadAll reads at the same time; zero means 16 MiB.
+		BodyMemoryBytes int64
 		// Clock is used for deadlines; nil means the system clock.
 		Clock clock.Clock
 	}
 
 	// Dialer sends requests, each on a new connection. It is safe for concurrent use.
 	Dialer struct {
-		opts Options
+		opts   Options
+		memory *bodyMemory
 	}
 
 	// Exchange is one request and its response on a dedicated connection. Close may be called at any
 	// time and from any goroutine; it interrupts a pending read.
 	Exchange struct {
 		conn       *idleTimeoutConn
+		memory     *bodyMemory
 		rsp        *fasthttp.Response
 		bodyReader io.Reader
 
@@ -81,7 +85,10 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.System()
 	}
-	return &Dialer{opts: opts}
+	if opts.BodyMemoryBytes == 0 {
+		opts.BodyMemoryBytes = defaultBodyMemoryBytes
+	}
+	return &Dialer{opts: opts, memory: &bodyMemory{limit: opts.BodyMemoryBytes}}
 }
 
 // Error names the address and the cause.
@@ -153,6 +160,7 @@
 		_ = raw.Close()
 		return nil, newBrokenErrorFrom(address, err)
 	}
+	ex.memory = dl.memory
 	return ex, nil
 }
 
@@ -183,7 +191,7 @@
 	}
 	n, err := ex.bodyReader.Read(p)
 	if err != nil && !errors.Is(err, io.EOF) {
-		err = newBrokenErrorFrom(ex.conn.RemoteAddr().String(), err)
+		err = ex.brokenError(err)
 	}
 	return n, err
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -12,6 +11,9 @@
 	"github.com/bergamotway/bergamotway/internal/connection"
 )
 
+// maxResponseBytes bounds the response to a control request.
+const maxResponseBytes = 64 << 10
+
 type (
 	// Client sends runs and control requests to engines. It is safe for concurrent use.
 	Client struct {
@@ -151,7 +153,7 @@
 	if status := ex.Response().StatusCode(); status != http.StatusOK {
 		return NewRefusedError(address, status)
 	}
-	data, err := io.ReadAll(ex)
+	data, err := ex.ReadAll(maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -101,6 +101,9 @@
 		got  string
 	}
 
+	// EventSizeError reports an event of more than the limit, in bytes.
+	EventSizeError struct{ limit int }
+
 	// ProtocolError reports a body that cannot be encoded, or an event or a body that cannot be
 	// decoded.
 	ProtocolError struct {
@@ -127,6 +130,11 @@
 	return fmt.Sprintf("engine: received an event of run %q in the answer to %q", e.got, e.want)
 }
 
+// Error returns a message with the limit.
+func (e *EventSizeError) Error() string {
+	return fmt.Sprintf("engine: event of more than %d bytes", e.limit)
+}
+
 // Error returns a message with the event and the cause.
 func (e *ProtocolError) Error() string {
 	return fmt.Sprintf("engine: cannot read event %q: %v", e.event, e.cause)
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -47,7 +47,14 @@
 	}
 )
 
-const streamBufferBytes = 4 << 10
+const (
+	streamBufferBytes = 4 << 10
+	// maxEventBytes bounds an event together with the lines before it that carry no data; some hundred of them must fit into
+	// the memory of a host.
+	maxEventBytes = 64 << 10
+	// maxQuotedBytes bounds the part of an undecodable event that its error holds.
+	maxQuotedBytes = 256
+)
 
 var (
 	dataPrefix = []byte("data: ")
@@ -113,10 +120,17 @@
 
 // readEvent returns the data of the next server-sent event.
 func (st *Stream) readEvent() ([]byte, error) {
-	for {
-		line, err := st.rd.ReadBytes('\n')
+	var line []byte
+	for total := 0; ; {
+		part, err := st.rd.ReadSlice('\n')
+		if total += len(part); total > maxEventBytes {
+			return nil, st.brokenError(&EventSizeError{limit: maxEventBytes})
+		}
+		line = append(line, part...)
 		var be *connection.BrokenError
 		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+			continue
 		case errors.As(err, &be):
 			return nil, err
 		case err != nil:
@@ -125,6 +139,7 @@
 		if data, ok := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix); ok {
 			return data, nil
 		}
+		line = line[:0]
 	}
 }
 
@@ -132,7 +147,7 @@
 func (st *Stream) parseEvent(data []byte) (Token, error) {
 	var ev chatEvent
 	if err := json.Unmarshal(data, &ev); err != nil {
-		return Token{}, &ProtocolError{event: string(data), cause: err}
+		return Token{}, &ProtocolError{event: string(data[:min(len(data), maxQuotedBytes)]), cause: err}
 	}
 	if ev.ID != st.run.ID {
 		return Token{}, NewWrongRunError(st.run.ID, ev.ID)
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"io"
 
 	"github.com/valyala/fasthttp"
 
@@ -59,13 +58,10 @@
 		return Response{}, err
 	}
 	defer func() { _ = ex.Close() }()
-	body, err := io.ReadAll(io.LimitReader(ex, MaxResponseBytes+1))
+	body, err := ex.ReadAll(MaxResponseBytes)
 	if err != nil {
 		return Response{}, err
 	}
-	if len(body) > MaxResponseBytes {
-		return Response{}, connection.NewBrokenError(address, false, io.ErrShortBuffer)
-	}
 	hdr := &ex.Response().Header
 	return Response{Status: hdr.StatusCode(), ContentType: string(hdr.ContentType()), Body: body}, nil
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 
@@ -14,6 +13,9 @@
 	"github.com/bergamotway/bergamotway/internal/engine"
 )
 
+// maxResponseBytes bounds a response; it has room for some thousand pieces.
+const maxResponseBytes = 1 << 20
+
 type (
 	// Client looks up pieces on store hosts. It is safe for concurrent use.
 	Client struct {
@@ -43,7 +45,7 @@
 		return nil, err
 	}
 	defer func() { _ = ex.Close() }()
-	data, err := io.ReadAll(ex)
+	data, err := ex.ReadAll(maxResponseBytes)
 	if err != nil {
 		return nil, err
 	}
