--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -90,7 +90,3 @@
 // discardLog returns the option that disables the library's log. The log is not needed, since every
 // failed call returns its error to the caller.
 func discardLog() jsonrpc2.ConnOpt { return jsonrpc2.SetLogger(log.New(io.Discard, "", 0)) }
-
-func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewPlainObjectStream(conn)
-}
