--- a/programs/bergamotctl/view.go
+++ b/programs/bergamotctl/view.go
@@ -16,7 +16,9 @@
 )
 
 const (
-	callTimeout      = 2 * time.Second
+	callTimeout = 2 * time.Second
+	// maxResponseBytes bounds the response of a host.
+	maxResponseBytes = 8 << 20
 	waitTimeout      = 30 * time.Second
 	waitPollInterval = 100 * time.Millisecond
 	watchInterval    = time.Second
@@ -169,7 +171,9 @@
 	defer fasthttp.ReleaseResponse(rsp)
 	req.Header.SetMethod(method)
 	req.SetRequestURI("http://" + address + path)
-	if err := fasthttp.DoTimeout(req, rsp, callTimeout); err != nil {
+	client := fasthttp.Client{MaxResponseBodySize: maxResponseBytes}
+	defer client.CloseIdleConnections()
+	if err := client.DoTimeout(req, rsp, callTimeout); err != nil {
 		return nil, err
 	}
 	if rsp.StatusCode() != http.StatusOK {
