attempt: bound the lines of a response header

Callers of a host could lose their requests when faulty endpoints sent headers of small lines: a header was bounded to 64 KiB on the wire, but 6,000 lines of a few bytes take about 630 KiB once they are decoded, so that some hundred of them exceed the memory of a host.

A header, with the interim responses before it, now has at most 512 lines, counted before they are decoded; lines of a body that arrive with it do not count. A trailer is dropped as soon as it is read.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -172,13 +172,17 @@
 }
 
 // Next reads the header of the next response on the connection. Callers use it after a response that
-// belongs to an earlier request. It fails with a *HeaderSizeError if the header, with the interim responses
-// before it, exceeds 64 KiB.
+// belongs to an earlier request. It fails with a *HeaderSizeError or *HeaderLinesError if the header, with the interim
+// responses before it, exceeds 64 KiB or 512 lines.
 func (rs *Response) Next() error {
 	rs.Interim = nil
 	rs.conn.source.limit(maxHeaderBytes)
 	defer rs.conn.source.unlimit()
 	for {
+		buffered, _ := rs.conn.reader.Peek(rs.conn.reader.Buffered())
+		if err := rs.conn.source.beginHeader(buffered); err != nil {
+			return err
+		}
 		//nolint:bodyclose // Read reads the body; Close closes or reuses the underlying connection.
 		rsp, err := http.ReadResponse(rs.conn.reader, &http.Request{Method: rs.method})
 		if err != nil {
@@ -200,7 +204,8 @@
 	case errors.Is(err, io.EOF) && !rs.hasDelimitedBody() && isReset(rs.conn.Conn):
 		err = rs.BrokenError(syscall.ECONNRESET)
 	case errors.Is(err, io.EOF):
-		rs.bodyRead = true
+		// Nobody uses the trailer.
+		rs.bodyRead, rs.rsp.Trailer = true, nil
 	case err != nil:
 		err = rs.BrokenError(err)
 	}
--- a/internal/attempt/error.go
+++ b/internal/attempt/error.go
@@ -20,6 +20,9 @@
 	// HeaderSizeError reports a response whose header exceeds the limit, in bytes.
 	HeaderSizeError struct{ limit int }
 
+	// HeaderLinesError reports a response whose header exceeds the limit, in lines.
+	HeaderLinesError struct{ limit int }
+
 	// BrokenError reports a request that may have run: bytes may have left this host, and no complete
 	// response arrived.
 	BrokenError struct {
@@ -38,6 +41,11 @@
 	return fmt.Sprintf("the response header exceeds %d bytes", e.limit)
 }
 
+// Error returns a message with the limit.
+func (e *HeaderLinesError) Error() string {
+	return fmt.Sprintf("the response header exceeds %d lines", e.limit)
+}
+
 // Error returns a message with the endpoint and the cause.
 func (e *NotSentError) Error() string {
 	return fmt.Sprintf("attempt: request not sent to endpoint %s at %s: %v", e.target.ID, e.target.Address, e.cause)
