attempt: try again after a connection that is reset while it opens

A check of an endpoint that had just been killed told that its state is not known: its listener ended while the connection opened, and the kernel reset it.

--- a/internal/attempt/start.go
+++ b/internal/attempt/start.go
@@ -115,13 +115,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), startCheckTimeout)
 	defer cancel()
 	var err error
-	for range maxStartCheckTries {
+	for try := 0; try < maxStartCheckTries && ctx.Err() == nil; try++ {
 		var raw net.Conn
 		if raw, err = po.dial(ctx, target, po.opts.DialTimeout); err != nil {
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				return StartEnded, nil
 			}
-			return StartUnknown, err
+			// A connection to a listener that ends meanwhile may be reset.
+			continue
 		}
 		cn := newConn(raw)
 		var state StartState
