catalog, gateway: end the shared KV cache when a team becomes exclusive

The shared salt was the model and the version of its weights, whoever shared it.

The shared salt now names the set of exclusive teams as well, if there are any. The other teams go on under a salt that the exclusive one has never used. They prefill their shared parts once more, which is not measured.

--- a/internal/cachedir/gate.go
+++ b/internal/cachedir/gate.go
@@ -41,12 +41,11 @@
 // freeTimeoutMs bounds the time that a call to free parts may be in transit, in milliseconds.
 const freeTimeoutMs = 1500
 
-// Salt returns the salt for the KV cache of a model version. Team is empty unless the cache is exclusive
-// to a team.
-func Salt(model string, version uint64, team string) string {
+// Salt returns the salt for the KV cache of a model version. The owner is empty if all teams share it.
+func Salt(model string, version uint64, owner string) string {
 	out := model + "." + strconv.FormatUint(version, 10)
-	if team != "" {
-		out += "." + team
+	if owner != "" {
+		out += "." + owner
 	}
 	return out
 }
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -141,6 +142,8 @@
 		routesByHost map[string][]*Route
 		services     map[string]*Service
 		teamsByKey   map[string]*Team
+		// sharedOwner is the owner of the KV cache that teams share.
+		sharedOwner string
 	}
 )
 
@@ -177,9 +180,35 @@
 			ct.teamsByKey[key] = &spec.Teams[i]
 		}
 	}
+	ct.sharedOwner = sharedOwner(spec.Teams)
 	return ct
 }
 
+// sharedOwner returns the owner of the KV cache that teams share. It differs for each set of exclusive teams: what an exclusive team
+// has put into the KV cache while it shared must not serve the others.
+func sharedOwner(teams []Team) string {
+	var exclusive []string
+	for i := range teams {
+		if teams[i].Exclusive {
+			exclusive = append(exclusive, teams[i].Name)
+		}
+	}
+	if len(exclusive) == 0 {
+		return ""
+	}
+	slices.Sort(exclusive)
+	return fmt.Sprintf(".%016x", rendezvous.Hash(strings.Join(exclusive, "\x00")))
+}
+
+// CacheOwner returns the owner of the KV cache that requests of a team use, empty if all teams share one; nil stands for requests
+// without a team.
+func (ct *Catalog) CacheOwner(te *Team) string {
+	if te != nil && te.Exclusive {
+		return te.Name
+	}
+	return ct.sharedOwner
+}
+
 // Version returns the version of the configuration.
 func (ct *Catalog) Version() uint64 { return ct.spec.Version }
 
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -43,3 +44,30 @@
 	require.True(t, (&catalog.Route{Kind: catalog.Streaming, Resumable: true}).IsRepeatable())
 	require.False(t, (&catalog.Route{Kind: catalog.NonIdempotent, Resumable: true}).IsRepeatable())
 }
+
+// Guards against KV cache that a team made before it became exclusive, and that other teams go on using.
+func TestSharedCacheEndsWhenATeamBecomesExclusive(t *testing.T) {
+	t.Parallel()
+	owners := func(exclusive ...string) map[string]string {
+		spec := catalog.Spec{}
+		for _, name := range []string{"a", "b", "c"} {
+			spec.Teams = append(spec.Teams, catalog.Team{Name: name, Keys: []string{name}, Exclusive: slices.Contains(exclusive, name)})
+		}
+		ct := catalog.New(spec)
+		out := map[string]string{"": ct.CacheOwner(nil)}
+		for _, name := range []string{"a", "b", "c"} {
+			te, _ := ct.Team(name)
+			out[name] = ct.CacheOwner(te)
+		}
+		return out
+	}
+	all, withoutA, withoutB, withoutBoth := owners(), owners("a"), owners("b"), owners("b", "a")
+	require.Equal(t, map[string]string{"": "", "a": "", "b": "", "c": ""}, all)
+	require.Equal(t, "a", withoutA["a"])
+	require.Equal(t, withoutA["b"], withoutA["c"])
+	require.Equal(t, withoutA["b"], withoutA[""])
+	shared := []string{all["c"], withoutA["c"], withoutB["c"], withoutBoth["c"]}
+	slices.Sort(shared)
+	require.Len(t, slices.Compact(shared), 4, "what a team has shared lies in none of the later ones without it")
+	require.Equal(t, withoutBoth, owners("a", "b"))
+}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -245,11 +245,7 @@
 
 // cacheSalt returns the salt that separates the KV cache of weight versions and exclusive teams.
 func (fw *forwarder) cacheSalt(version uint64) string {
-	team := ""
-	if fw.rq.team != nil && fw.rq.team.Exclusive {
-		team = fw.rq.team.Name
-	}
-	return cachedir.Salt(fw.rq.Model, version, team)
+	return cachedir.Salt(fw.rq.Model, version, fw.ct.CacheOwner(fw.rq.team))
 }
 
 // fastestStore returns the store with the shortest estimated time to fetch a part, that estimate, and
