attempt: an endpoint that still answers need not say its start to confirm an answer

Callers of plain endpoints got 502 instead of answers without a length that were whole.

Endpoints without a model take the question which start they are for a request without an identifier, and answer it with 400.

Any whole HTTP answer but 421, given after the end, now confirms it ("still-answering"): between the end of a process and the next start at its address, connections are refused.

The plain cases of TestResponseThatEndsWithItsConnectionIsDelivered fail without it.

--- a/internal/attempt/end.go
+++ b/internal/attempt/end.go
@@ -25,6 +25,8 @@
 	OtherConnection EndEvidence = "other-connection"
 	// SameStart means that the endpoint was asked after the end, and still is the same start.
 	SameStart EndEvidence = "same-start"
+	// StillAnswering means that the endpoint answered after the end, but does not say which start it is.
+	StillAnswering EndEvidence = "still-answering"
 )
 
 // openConns holds the open connections to each target.
@@ -85,7 +87,7 @@
 
 // ConfirmEnd tells, once Read has returned io.EOF, what shows that the response is whole. A process that is killed ends its
 // connections like one that has finished, so a response that ends with its connection is whole only if the endpoint lives on. It
-// fails with a *BrokenError if the endpoint has ended, or does not say in time that it has not.
+// fails with a *BrokenError if the endpoint has ended, or does not answer in time when it is asked.
 func (rs *Response) ConfirmEnd(ctx context.Context) (EndEvidence, error) {
 	if rs.IsDelimited() {
 		return Delimited, nil
@@ -101,11 +103,14 @@
 			return OtherConnection, nil
 		}
 	}
-	switch state, err := po.CheckStart(ctx, rs.target); state {
-	case StartAlive:
+	switch state, err := po.CheckStart(ctx, rs.target); {
+	case state == StartAlive:
 		return SameStart, nil
-	case StartEnded:
+	case state == StartEnded:
 		return "", rs.BrokenError(errEndedWithStart)
+	case errors.Is(err, errNoStart):
+		// Between an end and the next start at the address, connections are refused.
+		return StillAnswering, nil
 	default:
 		return "", rs.BrokenError(errors.Wrap(err, "the response ended with its connection, and the endpoint does not say whether it lives"))
 	}
