attempt: an answer is confirmed only if none of the older connections has ended

A process that dies closes its connections one after the other. An older one that is open 20 ms after the end of an answer was taken for a sign of life also if others had been closed meanwhile.

Now none of the older ones may have been closed; otherwise the endpoint is asked.

"one of several ends" of TestEndIsConfirmedByOlderConnectionsThatStayOpen fails without it.

--- a/internal/attempt/end.go
+++ b/internal/attempt/end.go
@@ -57,21 +57,21 @@
 	}
 }
 
-// openedBy returns whether a connection to a target, other than except, was opened by the time t, and whether one of these has not
-// been closed by the endpoint.
-func (oc *openConns) openedBy(target Target, except *conn, t time.Time) (exists, isOpen bool) {
+// countOpenedBy counts the connections to a target, other than except, that were opened by the time t: those that are open, and
+// those that the endpoint has closed.
+func (oc *openConns) countOpenedBy(target Target, except *conn, t time.Time) (open, closed int) {
 	oc.mu.Lock()
 	defer oc.mu.Unlock()
 	for cn := range oc.conns[target] {
-		if cn == except || cn.openedAt.After(t) {
-			continue
-		}
-		exists = true
-		if isEstablished(cn.Conn) {
-			return true, true
+		switch {
+		case cn == except || cn.openedAt.After(t):
+		case isEstablished(cn.Conn):
+			open++
+		default:
+			closed++
 		}
 	}
-	return exists, false
+	return open, closed
 }
 
 // Close closes the connection.
@@ -93,13 +93,14 @@
 		return Delimited, nil
 	}
 	po := rs.pool
-	if exists, _ := po.open.openedBy(rs.target, rs.conn, rs.openAt); exists {
+	if open, _ := po.open.countOpenedBy(rs.target, rs.conn, rs.openAt); open > 0 {
 		select {
 		case <-po.opts.Clock.After(witnessDelay):
 		case <-ctx.Done():
 			return "", rs.BrokenError(ctx.Err())
 		}
-		if _, isOpen := po.open.openedBy(rs.target, rs.conn, rs.openAt); isOpen {
+		// One that is closed may be the next of all.
+		if open, closed := po.open.countOpenedBy(rs.target, rs.conn, rs.openAt); open > 0 && closed == 0 {
 			return OtherConnection, nil
 		}
 	}
