--- a/internal/attempt/end.go
+++ b/internal/attempt/end.go
@@ -25,6 +25,8 @@
 	OtherConnection EndEvidence = "other-connection"
 	// SameStart means that the endpoint was asked after the end, and still is the same start.
 	SameStart EndEvidence = "same-start"
+	// StillAnswering means that the endpoint answered after the end, but does not say which start it is.
+	StillAnswering EndEvidence = "still-answering"
 )
 
 // openConns holds the open connections to each target.
@@ -55,21 +57,21 @@
 	}
 }
 
-// openedBy returns whether a connection to a target, other than except, was opened by the time t, and whether one of these has not
-// been closed by the endpoint.
-func (oc *openConns) openedBy(target Target, except *conn, t time.Time) (exists, isOpen bool) {
+// countOpenedBy counts the connections to a target, other than except, that were opened by the time t: those that are open, and
+// those that the endpoint has closed.
+func (oc *openConns) countOpenedBy(target Target, except *conn, t time.Time) (open, closed int) {
 	oc.mu.Lock()
 	defer oc.mu.Unlock()
 	for cn := range oc.conns[target] {
-		if cn == except || cn.openedAt.After(t) {
-			continue
-		}
-		exists = true
-		if isEstablished(cn.Conn) {
-			return true, true
+		switch {
+		case cn == except || cn.openedAt.After(t):
+		case isEstablished(cn.Conn):
+			open++
+		default:
+			closed++
 		}
 	}
-	return exists, false
+	return open, closed
 }
 
 // Close closes the connection.
@@ -85,27 +87,31 @@
 
 // ConfirmEnd tells, once Read has returned io.EOF, what shows that the response is whole. A process that is killed ends its
 // connections like one that has finished, so a response that ends with its connection is whole only if the endpoint lives on. It
-// fails with a *BrokenError if the endpoint has ended, or does not say in time that it has not.
+// fails with a *BrokenError if the endpoint has ended, or does not answer in time when it is asked.
 func (rs *Response) ConfirmEnd(ctx context.Context) (EndEvidence, error) {
 	if rs.IsDelimited() {
 		return Delimited, nil
 	}
 	po := rs.pool
-	if exists, _ := po.open.openedBy(rs.target, rs.conn, rs.openAt); exists {
+	if open, _ := po.open.countOpenedBy(rs.target, rs.conn, rs.openAt); open > 0 {
 		select {
 		case <-po.opts.Clock.After(witnessDelay):
 		case <-ctx.Done():
 			return "", rs.BrokenError(ctx.Err())
 		}
-		if _, isOpen := po.open.openedBy(rs.target, rs.conn, rs.openAt); isOpen {
+		// One that is closed may be the next of all.
+		if open, closed := po.open.countOpenedBy(rs.target, rs.conn, rs.openAt); open > 0 && closed == 0 {
 			return OtherConnection, nil
 		}
 	}
-	switch state, err := po.CheckStart(ctx, rs.target); state {
-	case StartAlive:
+	switch state, err := po.CheckStart(ctx, rs.target); {
+	case state == StartAlive:
 		return SameStart, nil
-	case StartEnded:
+	case state == StartEnded:
 		return "", rs.BrokenError(errEndedWithStart)
+	case errors.Is(err, errNoStart):
+		// Between an end and the next start at the address, connections are refused.
+		return StillAnswering, nil
 	default:
 		return "", rs.BrokenError(errors.Wrap(err, "the response ended with its connection, and the endpoint does not say whether it lives"))
 	}
