attempt, gateway: do not take another start of an endpoint for the known one

Callers saw events of two software versions in one answer: an engine started again in place with its next version while the metadata store was silent, hosts sent it new streams, noted the version of its old entry as their origin, and continued them at that version when it crashed. The same held for take-ups at other hosts, and for an entry that was only late.

Nothing checked that the process that answers is the start that the entry describes. A start is now in doubt once a connection to it broke, was refused, was found closed early or fell silent, and while the host has not heard from the store for 2 s. In doubt, a request that begins a stream that can be taken up, or continues one, is sent on a new connection only after the endpoint has named its start there. Where another start answers nothing continues; streams begin there last, with an unknown origin, which is told to the keepers, and the service does not count as having one version at that host. When a stream breaks off, the version is compared once more. A stream of unknown origin goes on only where the service reports no versions; before, one version in service was enough. Entries without a start time or a version are handled as before.

The stand-in closes its listener also when its server has not begun to serve, which made a restart in place move to another port.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -3,13 +3,12 @@
 package attempt
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -23,14 +22,9 @@
 	// defaultDialTimeout is far above the round trip between zones, and short enough to try another
 	// endpoint in time if one does not respond.
 	defaultDialTimeout = 300 * time.Millisecond
-	// idleTimeoutMargin is how long before the endpoint's own idle timeout a connection ceases to be reused.
-	idleTimeoutMargin = time.Second
-	// maxIdleTime bounds the idle time of a connection, also if the endpoint announces no timeout.
-	maxIdleTime = 4 * time.Second
 	// maxSyncWriteBytes is the largest request that is written before the response is read. Larger ones
 	// are written concurrently, because an endpoint may respond before it has read them.
 	maxSyncWriteBytes = 2 << 10
-	readBufferBytes   = 8 << 10
 	// maxHeaderBytes bounds the header of a response together with the interim responses before it. An
 	// endpoint in trouble may send a header without end.
 	maxHeaderBytes = 64 << 10
@@ -49,6 +43,8 @@
 		OnOpen func()
 		// StartCodec translates the question which start of an endpoint answers; nil means that it can't be asked.
 		StartCodec StartCodec
+		// IsConfirmed reports whether the host has learned lately which starts there are; nil means always.
+		IsConfirmed func() bool
 	}
 
 	// Pool holds reusable connections to endpoints. It is safe for concurrent use.
@@ -59,6 +55,8 @@
 		targets map[Target]*targetConns
 		// checks holds the targets of which the start is being checked.
 		checks map[Target]*startChecks
+		// now counts what happens to connections.
+		now moment
 	}
 
 	// Target identifies one start of an endpoint. Connections to an earlier or later start are never used
@@ -74,18 +72,9 @@
 
 	// targetConns holds the idle connections to a target; open counts these and the ones in use.
 	targetConns struct {
-		idle []*conn
-		open int
-	}
-
-	// conn is a connection with its read buffer; requests is the number of requests sent on it.
-	conn struct {
-		net.Conn
-		source      *headerLimitReader
-		reader      *bufio.Reader
-		idleTimeout time.Duration
-		idleSince   time.Time
-		requests    int
+		idle  []*conn
+		open  int
+		trust trust
 	}
 
 	// Response is the response to a request. Its body is read with Read, and Close must be called.
@@ -133,7 +122,13 @@
 // with a *NotSentError or a *BrokenError. The end of ctx aborts the exchange, after which the connection
 // is not reused.
 func (po *Pool) Send(ctx context.Context, target Target, limit int, method string, head, body []byte) (*Response, error) {
-	cn, err := po.acquire(ctx, target, limit)
+	return po.SendToStart(ctx, target, AnyStart, limit, method, head, body)
+}
+
+// SendToStart is Send for a request that needs the start that the target names. While that is in doubt, a connection is used only
+// once the start has answered on it. If another one answers, the cause of the *NotSentError is a *OtherStartError.
+func (po *Pool) SendToStart(ctx context.Context, target Target, need StartNeed, limit int, method string, head, body []byte) (*Response, error) {
+	cn, err := po.acquireAtStart(ctx, target, need, limit)
 	if err != nil {
 		return nil, err
 	}
@@ -141,11 +136,17 @@
 	cn.requests++
 	rs.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	if err := rs.write(head, body); err != nil {
+		if ctx.Err() == nil {
+			po.doubt(target)
+		}
 		rs.Close()
 		return nil, err
 	}
 	if err := rs.Next(); err != nil {
 		rs.Close()
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			po.doubt(target)
+		}
 		if ctx.Err() != nil {
 			err = errors.Wrap(ctx.Err(), err.Error())
 		}
@@ -208,6 +209,9 @@
 	case err != nil:
 		err = rs.BrokenError(err)
 	}
+	if err != nil && !rs.bodyRead && !errors.Is(err, os.ErrDeadlineExceeded) {
+		rs.pool.doubt(rs.target)
+	}
 	return n, err
 }
 
@@ -225,7 +229,7 @@
 func (rs *Response) Close() {
 	rs.closeOnce.Do(func() {
 		notCancelled := rs.stopCancel()
-		reusable := notCancelled && rs.bodyRead && rs.rsp != nil && !rs.rsp.Close && rs.conn.reader.Buffered() == 0 && rs.hasDelimitedBody()
+		reusable := notCancelled && rs.isReusable()
 		if rs.writeDone != nil {
 			select {
 			case err := <-rs.writeDone:
@@ -242,6 +246,11 @@
 	})
 }
 
+// isReusable reports whether the connection can carry another request after the response.
+func (rs *Response) isReusable() bool {
+	return rs.bodyRead && rs.rsp != nil && !rs.rsp.Close && rs.conn.reader.Buffered() == 0 && rs.hasDelimitedBody()
+}
+
 // DiscardBody reads and drops the rest of the body, so that the connection can be reused. It gives up after
 // maxBytes or the duration d; the connection is then closed by Close.
 func (rs *Response) DiscardBody(maxBytes int64, d time.Duration) {
@@ -296,19 +305,21 @@
 // acquire returns an idle connection to target or opens a new one.
 func (po *Pool) acquire(ctx context.Context, target Target, limit int) (*conn, error) {
 	po.mu.Lock()
-	tc := po.targets[target]
-	if tc == nil {
-		tc = &targetConns{}
-		po.targets[target] = tc
-	}
+	tc := po.conns(target)
 	now := po.opts.Clock.Now()
 	for len(tc.idle) > 0 {
 		cn := tc.idle[len(tc.idle)-1]
 		tc.idle = tc.idle[:len(tc.idle)-1]
 		// The deadline of the last use may have passed, with which no check succeeds.
-		if now.Sub(cn.idleSince) < cn.idleTimeout && cn.SetDeadline(time.Time{}) == nil && isIdleAndOpen(cn.Conn) {
-			po.mu.Unlock()
-			return cn, nil
+		if now.Sub(cn.idleSince) < cn.idleTimeout && cn.SetDeadline(time.Time{}) == nil {
+			isUsable, isClosed := checkIdle(cn.Conn)
+			if isUsable {
+				po.mu.Unlock()
+				return cn, nil
+			}
+			if isClosed {
+				tc.trust.doubtedAt = po.tick()
+			}
 		}
 		closeConn(cn)
 		tc.open--
@@ -321,6 +332,9 @@
 	po.mu.Unlock()
 	raw, err := po.dial(ctx, target, po.opts.DialTimeout)
 	if err != nil {
+		if ctx.Err() == nil {
+			po.doubt(target)
+		}
 		po.mu.Lock()
 		tc.open--
 		po.mu.Unlock()
@@ -329,18 +343,25 @@
 	if po.opts.OnOpen != nil {
 		po.opts.OnOpen()
 	}
-	return newConn(raw), nil
+	cn := newConn(raw)
+	isConfirmed := po.isConfirmed()
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	cn.openedAt = po.tick()
+	cn.isTrusted = !po.canAsk(target) || tc.trust.holds(isConfirmed, po.opts.Clock.Now())
+	return cn, nil
 }
 
-func newConn(raw net.Conn) *conn {
-	source := &headerLimitReader{reader: raw}
-	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
+// conns returns the connections to a target. The caller holds the lock.
+func (po *Pool) conns(target Target) *targetConns {
+	tc := po.targets[target]
+	if tc == nil {
+		tc = &targetConns{}
+		po.targets[target] = tc
+	}
+	return tc
 }
 
-// closeConn closes a connection that is no longer used. The error is of no use: any fault of the
-// connection has been reported by then.
-func closeConn(nc net.Conn) { _ = nc.Close() }
-
 // release returns a connection to the pool if it is reusable and closes it otherwise.
 func (po *Pool) release(target Target, cn *conn, reusable bool) {
 	po.mu.Lock()
@@ -356,58 +377,3 @@
 		tc.open--
 	}
 }
-
-// isIdleAndOpen reports whether an idle connection is open and has no unread bytes. Unread bytes belong
-// to no request, and EOF means that the endpoint has closed the connection.
-func isIdleAndOpen(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(rerr, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && idle
-}
-
-// isReset reports whether a connection of which the end has been read was reset. The kernel reports a reset to
-// only one call: if a concurrent write has received the error, reads return io.EOF.
-func isReset(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	reset := false
-	err = raw.Control(func(fd uintptr) {
-		// A connection that the peer has closed still has a peer; one that was reset has none.
-		_, perr := syscall.Getpeername(int(fd))
-		reset = errors.Is(perr, syscall.ENOTCONN)
-	})
-	return err != nil || reset
-}
-
-// idleTimeout returns how long a connection may stay idle after a response with header hd.
-func idleTimeout(hd http.Header) time.Duration {
-	for _, param := range strings.Split(hd.Get("Keep-Alive"), ",") {
-		text, ok := strings.CutPrefix(strings.TrimSpace(param), "timeout=")
-		if !ok {
-			continue
-		}
-		if seconds, err := strconv.Atoi(text); err == nil {
-			return min(time.Duration(seconds)*time.Second-idleTimeoutMargin, maxIdleTime)
-		}
-	}
-	return maxIdleTime
-}
--- a/internal/attempt/dial.go
+++ b/internal/attempt/dial.go
@@ -35,8 +35,11 @@
 // probe opens a connection and closes it.
 func (po *Pool) probe(ctx context.Context, target Target) error {
 	raw, err := po.dial(ctx, target, min(probeTimeout, po.opts.DialTimeout))
-	if err == nil {
+	switch {
+	case err == nil:
 		closeConn(raw)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		po.doubt(target)
 	}
 	return err
 }
--- a/internal/attempt/error.go
+++ b/internal/attempt/error.go
@@ -26,6 +26,9 @@
 	// connectionLimitError reports that this host may open no further connection to the endpoint.
 	connectionLimitError struct{ limit int }
 
+	// OtherStartError reports that another start of the endpoint answers than the target names, or another endpoint.
+	OtherStartError struct{}
+
 	// HeaderSizeError reports a response whose header exceeds the limit, in bytes.
 	HeaderSizeError struct{ limit int }
 
@@ -45,6 +48,9 @@
 	return fmt.Sprintf("all %d connections that this host may open to the endpoint are in use", e.limit)
 }
 
+// Error returns the message.
+func (e *OtherStartError) Error() string { return "another start of the endpoint answers" }
+
 // Error returns a message with the limit.
 func (e *HeaderSizeError) Error() string {
 	return fmt.Sprintf("the response header exceeds %d bytes", e.limit)
--- a/internal/attempt/start.go
+++ b/internal/attempt/start.go
@@ -97,7 +97,9 @@
 func (po *Pool) runStartChecks(target Target, cs *startChecks) {
 	for {
 		sc := cs.running
+		askedAt, at := po.beginQuestion()
 		sc.state, sc.err = po.checkStart(target)
+		po.noteStart(target, sc.state, askedAt, at)
 		close(sc.done)
 		po.mu.Lock()
 		cs.running, cs.next = cs.next, nil
@@ -121,11 +123,14 @@
 			if errors.Is(err, syscall.ECONNREFUSED) {
 				return StartEnded, nil
 			}
+			if errors.Is(err, syscall.ECONNRESET) {
+				continue
+			}
 			return StartUnknown, err
 		}
 		cn := newConn(raw)
 		var state StartState
-		state, err = po.askStart(ctx, cn, target)
+		state, _, err = po.askStart(ctx, cn, target)
 		closeConn(cn)
 		if err == nil || ctx.Err() != nil {
 			return state, err
@@ -134,31 +139,32 @@
 	return StartUnknown, err
 }
 
-// askStart asks on a connection that carries no other request. The error says why the state is unknown; the connection may be used
-// further only without one.
-func (po *Pool) askStart(ctx context.Context, cn *conn, target Target) (StartState, error) {
+// askStart asks on a connection that carries no other request. It reports whether the connection can carry one afterwards; the error
+// says why the state is unknown.
+func (po *Pool) askStart(ctx context.Context, cn *conn, target Target) (state StartState, canBeUsed bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if _, err := cn.Write(po.opts.StartCodec.EncodeStartRequest(target)); err != nil {
-		return StartUnknown, err
+		return StartUnknown, false, err
 	}
 	rs := &Response{pool: po, target: target, conn: cn, method: http.MethodGet}
 	if err := rs.Next(); err != nil {
-		return StartUnknown, err
+		return StartUnknown, false, err
 	}
 	body, err := io.ReadAll(io.LimitReader(rs, maxStartAnswerBytes+1))
 	switch {
 	case err != nil:
-		return StartUnknown, err
+		return StartUnknown, false, err
 	case len(body) > maxStartAnswerBytes:
-		return StartUnknown, errStartAnswerSize
+		return StartUnknown, false, errStartAnswerSize
 	}
+	canBeUsed = stop() && rs.isReusable()
 	an, ok := po.opts.StartCodec.DecodeStart(rs.Status, body)
 	switch {
 	case !ok:
-		return StartUnknown, errNoStart
+		return StartUnknown, canBeUsed, errNoStart
 	case an.IsOther || (an.StartTimeMs != 0 && target.StartTimeMs != 0 && an.StartTimeMs != target.StartTimeMs):
-		return StartEnded, nil
+		return StartEnded, canBeUsed, nil
 	}
-	return StartAlive, nil
+	return StartAlive, canBeUsed, nil
 }
--- /dev/null
+++ b/internal/attempt/trust.go
@@ -0,0 +1,146 @@
+package attempt
+
+import (
+	"context"
+	"time"
+)
+
+const (
+	// aliveTime is how long a start that has answered is trusted while the host does not learn of new ones. A break of a
+	// connection ends it at once.
+	aliveTime = 2 * time.Second
+	// maxVerifications bounds the connections on which a start is verified for one request.
+	maxVerifications = 3
+)
+
+type (
+	// StartNeed is what a request needs of the start that it is sent to.
+	StartNeed int
+
+	// moment orders what happens to the connections of a pool.
+	moment uint64
+
+	// trust is whether connections that are opened to a target reach the start that it names. The zero value trusts it.
+	trust struct {
+		// doubtedAt is the last moment at which something showed that the start may have ended; zero if it has answered since.
+		doubtedAt moment
+		// askedAt is the moment at which the last question that it answered began, and aliveAt its time.
+		askedAt moment
+		aliveAt time.Time
+	}
+)
+
+const (
+	// AnyStart is for requests that may run at whichever start answers.
+	AnyStart StartNeed = iota
+	// KnownStart is for requests that are not sent if another start answers.
+	KnownStart
+	// VerifiedStart is for requests that are sent only if the start answers.
+	VerifiedStart
+)
+
+// holds reports whether a connection that is opened now reaches the start.
+func (tr trust) holds(isConfirmed bool, now time.Time) bool {
+	return tr.doubtedAt == 0 && (isConfirmed || (tr.askedAt > 0 && now.Sub(tr.aliveAt) < aliveTime))
+}
+
+// IsStartKnown reports whether the response comes from the start that the target names, as far as the host can know.
+func (rs *Response) IsStartKnown() bool { return rs.conn.isTrusted || rs.IsStartVerified() }
+
+// IsStartVerified reports whether that start has answered since the connection was opened.
+func (rs *Response) IsStartVerified() bool {
+	rs.pool.mu.Lock()
+	defer rs.pool.mu.Unlock()
+	tc := rs.pool.targets[rs.target]
+	return rs.conn.isVerified || (tc != nil && tc.trust.askedAt > rs.conn.openedAt)
+}
+
+// tick returns a new moment. The caller holds the lock.
+func (po *Pool) tick() moment {
+	po.now++
+	return po.now
+}
+
+// canAsk reports whether an answer of a target could be compared with its start. Otherwise each connection counts as one to it.
+func (po *Pool) canAsk(target Target) bool {
+	return target.StartTimeMs != 0 && po.opts.StartCodec != nil
+}
+
+func (po *Pool) isConfirmed() bool { return po.opts.IsConfirmed == nil || po.opts.IsConfirmed() }
+
+// doubt notes that the start of a target may have ended.
+func (po *Pool) doubt(target Target) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	po.conns(target).trust.doubtedAt = po.tick()
+}
+
+// beginQuestion returns the moment and the time at which a question begins.
+func (po *Pool) beginQuestion() (moment, time.Time) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.tick(), po.opts.Clock.Now()
+}
+
+// noteStart notes the answer to a question. A doubt that arose after the question began stays.
+func (po *Pool) noteStart(target Target, state StartState, askedAt moment, at time.Time) {
+	if state == StartUnknown {
+		return
+	}
+	if state == StartEnded {
+		po.doubt(target)
+		return
+	}
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	tr := &po.conns(target).trust
+	if askedAt > tr.askedAt {
+		tr.askedAt, tr.aliveAt = askedAt, at
+	}
+	if tr.doubtedAt < askedAt {
+		tr.doubtedAt = 0
+	}
+}
+
+// acquireAtStart returns a connection to the start of a target as far as it is needed.
+func (po *Pool) acquireAtStart(ctx context.Context, target Target, need StartNeed, limit int) (*conn, error) {
+	var cause error
+	for range maxVerifications {
+		cn, err := po.acquire(ctx, target, limit)
+		if err != nil || need == AnyStart || cn.isTrusted || cn.isVerified {
+			return cn, err
+		}
+		var (
+			state     StartState
+			canBeUsed bool
+		)
+		state, canBeUsed, cause = po.verify(ctx, target, cn)
+		switch {
+		case state == StartEnded:
+			po.release(target, cn, false)
+			return nil, &NotSentError{target: target, cause: &OtherStartError{}}
+		case canBeUsed && (state == StartAlive || need == KnownStart):
+			return cn, nil
+		}
+		po.release(target, cn, false)
+		// A connection that was idle may have ended, and one whose answer ends it has shown that the start is alive.
+		if ctx.Err() != nil || (state == StartUnknown && cn.requests == 0) {
+			break
+		}
+	}
+	if cause == nil {
+		cause = errNoStart
+	}
+	return nil, &NotSentError{target: target, cause: cause}
+}
+
+// verify asks the endpoint on a connection which start it is. It reports whether the connection can carry a request afterwards.
+func (po *Pool) verify(ctx context.Context, target Target, cn *conn) (state StartState, canBeUsed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
+	defer cancel()
+	askedAt, at := po.beginQuestion()
+	state, canBeUsed, err = po.askStart(ctx, cn, target)
+	po.noteStart(target, state, askedAt, at)
+	cn.isVerified = state == StartAlive
+	return state, canBeUsed, err
+}
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -58,6 +58,8 @@
 		Loading bool
 		// Limited marks an endpoint that names a limit of requests, and Waiting one that wants no requests from this host now.
 		Limited, Waiting bool
+		// OtherStart marks an endpoint of which another start answers than the entry describes. Its software version is not known.
+		OtherStart bool
 		// Retained marks an endpoint whose entry disappeared during or soon after an outage of the metadata store.
 		Retained bool
 	}
@@ -76,6 +78,7 @@
 		loadingUntil      time.Time
 		retainedUntil     time.Time
 		drainingSince     time.Time
+		otherStart        bool
 		coldBucket        rateBucket
 		said              statements
 		residentParts     residentSet
@@ -107,6 +110,7 @@
 		Loading:      now.Before(ep.loadingUntil),
 		Limited:      fl.hasLimit(ep, now),
 		Waiting:      ep.said.wait.isHeld(now),
+		OtherStart:   ep.otherStart,
 		Retained:     !ep.retainedUntil.IsZero(),
 	}
 	for _, pl := range ep.peerLoads {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,6 +62,8 @@
 		software map[serviceVersion]int
 		// reach holds the services of which an attempt has ended without a response since the last response, by name.
 		reach map[string]*reach
+		// otherStarts holds the endpoints of which another start answers than their entries describe.
+		otherStarts map[*endpoint]bool
 		// departed holds the endpoints whose entries disappeared lately, by identifier.
 		departed map[string]departure
 		synced   bool
@@ -107,14 +109,15 @@
 		opts.Clock = clock.System()
 	}
 	return &Fleet{
-		opts:      opts,
-		hostHash:  rendezvous.Hash(opts.Host),
-		endpoints: make(map[string]*endpoint),
-		hosts:     []string{opts.Host},
-		evacuated: make(map[string]bool),
-		departed:  make(map[string]departure),
-		reach:     make(map[string]*reach),
-		software:  make(map[serviceVersion]int),
+		opts:        opts,
+		hostHash:    rendezvous.Hash(opts.Host),
+		endpoints:   make(map[string]*endpoint),
+		hosts:       []string{opts.Host},
+		evacuated:   make(map[string]bool),
+		departed:    make(map[string]departure),
+		reach:       make(map[string]*reach),
+		otherStarts: make(map[*endpoint]bool),
+		software:    make(map[serviceVersion]int),
 	}
 }
 
--- a/internal/fleet/in_flight.go
+++ b/internal/fleet/in_flight.go
@@ -34,13 +34,18 @@
 func (fi *InFlight) IsAt(startTimeMs int64, software string) bool {
 	fi.fl.mu.Lock()
 	defer fi.fl.mu.Unlock()
-	en := fi.ep.entry
-	if current := fi.fl.endpoints[en.ID]; current != nil {
-		en = current.entry
-	}
+	en := fi.currentEntry()
 	return en.StartTimeMs == startTimeMs && en.SoftwareVersion == software
 }
 
+// currentEntry returns the entry of the endpoint as of now. The caller holds the fleet's lock.
+func (fi *InFlight) currentEntry() Entry {
+	if current := fi.fl.endpoints[fi.ep.entry.ID]; current != nil {
+		return current.entry
+	}
+	return fi.ep.entry
+}
+
 // MarkPrefilled records that the endpoint has finished the prefill of the request.
 func (fi *InFlight) MarkPrefilled() {
 	fi.fl.mu.Lock()
--- a/internal/fleet/sample.go
+++ b/internal/fleet/sample.go
@@ -31,15 +31,17 @@
 // load new weights are left out unless there are hardly any others, and those of whose limit this host has used up its
 // share, or that want none now, always. One that names a limit and takes a request from this host comes on top of the limit of the sample.
 func (fl *Fleet) Sample(service, zone, key string, limit int) []View {
-	return fl.sample(zone, key, limit, func(en *Entry) bool { return en.Service == service })
+	return fl.sample(zone, key, limit, func(ep *endpoint) bool { return ep.entry.Service == service })
 }
 
-// SampleSoftware is Sample among the endpoints with a software version.
+// SampleSoftware is Sample among the endpoints with a software version. Those of which another start answers are left out.
 func (fl *Fleet) SampleSoftware(service, software, zone, key string, limit int) []View {
-	return fl.sample(zone, key, limit, func(en *Entry) bool { return en.Service == service && en.SoftwareVersion == software })
+	return fl.sample(zone, key, limit, func(ep *endpoint) bool {
+		return ep.entry.Service == service && ep.entry.SoftwareVersion == software && !ep.otherStart
+	})
 }
 
-func (fl *Fleet) sample(zone, key string, limit int, includes func(*Entry) bool) []View {
+func (fl *Fleet) sample(zone, key string, limit int, includes func(*endpoint) bool) []View {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
 	now := fl.opts.Clock.Now()
@@ -49,7 +51,7 @@
 			fl.delete(id, ep, now)
 			continue
 		}
-		if !includes(&ep.entry) || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
+		if !includes(ep) || ep.entry.Draining || fl.evacuated[ep.entry.Zone] {
 			continue
 		}
 		if !fl.isWithinLimit(ep, now) || ep.said.wait.isHeld(now) || !fl.hasRoom(ep, now) {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -59,6 +59,10 @@
 		pinnedVersion uint64
 		// begun is what began the stream; nil before its first event. The stream goes on only at the same software version.
 		begun *origin.Origin
+		// beginning is the attempt that began the stream, until it is asked whether the stream may go on; nil if there is none.
+		beginning *beginning
+		// response is the last response of an endpoint.
+		response *attempt.Response
 		// silent counts the endpoints that did not respond to the request, unless the client or the deadline ended the attempt.
 		silent int
 		// hasTriedNeighbours is set once neighbours have been tried, and isRelayed once one has a response of an endpoint.
@@ -224,7 +228,8 @@
 		fw.limitWait(ctx, cancel, fi, left)
 	}
 	head := gw.opts.Codec.EncodeRequestHeader(rq, pl.delivery)
-	rs, err := gw.opts.Pool.Send(ctx, target, fw.connectionLimit(), rq.Method, head, rq.Body)
+	rs, err := gw.opts.Pool.SendToStart(ctx, target, fw.startNeed(pl), fw.connectionLimit(), rq.Method, head, rq.Body)
+	fw.response = rs
 	if err == nil {
 		err = fw.skipStaleResponses(rs)
 	}
@@ -235,7 +240,11 @@
 	switch {
 	case errors.As(err, &unsent):
 		outcome := fleet.Unreachable
-		if unsent.IsConnectionLimit() || ctx.Err() != nil {
+		var otherStart *attempt.OtherStartError
+		if errors.As(err, &otherStart) {
+			fw.noteOtherStart(pl)
+			outcome = fleet.Neutral
+		} else if unsent.IsConnectionLimit() || ctx.Err() != nil {
 			outcome = fleet.Neutral
 		} else {
 			gw.opts.Pool.CloseIdle(target)
@@ -333,6 +342,7 @@
 
 // canRetry reports whether the request may run again at another endpoint.
 func (fw *forwarder) canRetry() bool {
+	fw.confirmOrigin()
 	return fw.rq.route.IsRepeatable() && !fw.isRelayed && !fw.hasUnnumberedEvents && fw.sent < fw.rq.route.MaxAttempts &&
 		fw.rq.deadline.Sub(fw.gw.opts.Clock.Now()) > minAttemptTime && fw.isOriginKnown()
 }
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -42,9 +42,10 @@
 	if fw.begun == nil {
 		fw.begun = &origin.Origin{Service: rq.service.Name}
 		// An endpoint that has been restarted in the meantime may have another version than the one that was known.
-		if fi.IsAt(pl.view.StartTimeMs, pl.view.SoftwareVersion) {
+		if fw.response.IsStartKnown() && fi.IsAt(pl.view.StartTimeMs, pl.view.SoftwareVersion) {
 			fw.begun.Software = pl.view.SoftwareVersion
 		}
+		fw.beginning = &beginning{response: fw.response, inFlight: fi}
 	}
 	fw.gw.opts.Origins.Record(origin.Stream{Team: rq.teamName(), Request: rq.ID}, *fw.begun)
 }
@@ -52,7 +53,7 @@
 // isOriginKnown reports whether the software version at which a stream must go on is known. Without any versions all endpoints
 // of the service count as having the same.
 func (fw *forwarder) isOriginKnown() bool {
-	return fw.begun == nil || fw.begun.Software != "" || fw.gw.opts.Origins.IsSole(fw.begun.Service)
+	return fw.begun == nil || fw.begun.Software != "" || fw.gw.opts.Origins.IsUnversioned(fw.begun.Service)
 }
 
 // refuseTakeUp refuses to resume a stream of which it is not known which software version began it, or that began at another
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -97,7 +97,7 @@
 	}
 	cands := make([]placement.Candidate, len(views))
 	for i, vw := range views {
-		cands[i] = placement.Candidate{View: vw, Unrecorded: rq.canBeTakenUp() && !gw.opts.IsSoftwareRecorded(rq.service.Name, vw.SoftwareVersion)}
+		cands[i] = placement.Candidate{View: vw, Unrecorded: fw.isUnrecorded(vw)}
 	}
 	if job.Model != "" {
 		job.MemoryTokens, job.OutputTokens = rq.memoryTokens(), rq.MaxOutputTokens
--- /dev/null
+++ b/internal/gateway/start_test.go
@@ -0,0 +1,99 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/bergamotway/bergamotway/internal/attempt"
+	"github.com/bergamotway/bergamotway/internal/clock"
+	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/gateway"
+	"github.com/bergamotway/bergamotway/internal/origin"
+	"github.com/bergamotway/bergamotway/internal/standin/site"
+	"github.com/bergamotway/bergamotway/platform"
+)
+
+// streamTime is the time between two events of a stream.
+const streamTime = 30 * time.Millisecond
+
+// addSite adds an endpoint of both services that can start again in place. It returns its entry.
+func (fx *versionFixture) addSite(t *testing.T, id, software string) (*site.Endpoint, fleet.Entry) {
+	ep, err := site.NewEndpoint(site.EndpointOptions{ID: id, SoftwareVersion: software, EventCount: 8, EventInterval: streamTime})
+	require.NoError(t, err)
+	t.Cleanup(ep.Close)
+	_, entry := ep.Entry("ready")
+	born, isNumber := entry["born"].(int64)
+	require.True(t, isNumber)
+	en := fleet.Entry{ID: id, Service: "engines", Address: ep.Address(), Zone: "here", Slots: 8, StartTimeMs: born, SoftwareVersion: software}
+	fx.fl.Put(en)
+	return ep, en
+}
+
+// Guards against a stream that goes on at the version that was known when it began, although the entry that was late names another.
+func TestOriginIsComparedAgainWhenTheStreamBreaks(t *testing.T) {
+	t.Parallel()
+	for software, want := range map[string]int{"v1": http.StatusOK, "v2": 0} {
+		t.Run(software, func(t *testing.T) {
+			t.Parallel()
+			fx := newVersionFixture(severalVersions)
+			ep, en := fx.addSite(t, "a", "v1")
+			time.AfterFunc(2*streamTime, func() {
+				en.StartTimeMs++
+				en.SoftwareVersion = software
+				fx.fl.Put(en)
+				fx.addSite(t, "b", "v1")
+			})
+			time.AfterFunc(5*streamTime, ep.Close)
+			status, body := 0, ""
+			for i := 0; body == ""; i++ {
+				// The route splits its requests among two services.
+				status, body = fx.takeUp(fmt.Sprint("r", i), "", "")
+				if status == http.StatusServiceUnavailable {
+					body = ""
+				}
+			}
+			require.Equal(t, want, status, body)
+		})
+	}
+}
+
+// Guards against refusing all requests of a service whose only endpoint has started again, and against knowing what began them.
+func TestStreamsBeginAtAnotherStartWithoutAKnownOrigin(t *testing.T) {
+	t.Parallel()
+	ck := clock.System()
+	fx := newVersionFixture(nil)
+	opts := gatewayOptions(ck, fx.fl)
+	opts.Origins = origin.New(origin.Options{Sole: func(string) (string, bool) { return "v1", true }})
+	opts.Pool = attempt.NewPool(attempt.Options{StartCodec: platform.StartCodec{}, IsConfirmed: func() bool { return false }})
+	ct := fx.gw.Catalog()
+	fx.gw = gateway.New(opts)
+	fx.gw.Configure(ct)
+	ep, _ := fx.addSite(t, "a", "v1")
+	ep.Close()
+	ep.SetSoftwareVersion("v2")
+	require.NoError(t, ep.Restart())
+	begun := 0
+	for i := range 12 {
+		id := fmt.Sprint("r", i)
+		status, _ := fx.takeUp(id, "", "")
+		if status != http.StatusOK {
+			// The other service has no endpoint.
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			continue
+		}
+		begun++
+		or, _ := opts.Origins.Find(t.Context(), origin.Stream{Request: id}, "engines")
+		require.Equal(t, origin.Origin{Service: "engines"}, or)
+		status, body := fx.takeUp(id+"-again", id, "2")
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.Equal(t, "unknown-origin\n", body)
+	}
+	require.Positive(t, begun)
+	require.True(t, fx.fl.HasOtherStart("engines"))
+	require.False(t, fx.fl.HasOtherStart("others"))
+	require.Equal(t, 1, ep.ReportCount())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,16 +150,16 @@
 	no := &Node{
 		st: st, deps: deps, ck: ck, log: lg,
 		peerSeenRevisions: make(map[string]metastore.Revision),
-		pool: attempt.NewPool(attempt.Options{
-			Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened, StartCodec: deps.Starts,
-		}),
-		cache:       cachedir.New(ck),
-		cutOff:      make(chan struct{}, 1),
-		reregister:  make(chan struct{}, 1),
-		quarantine:  quarantine.NewTracker(ck),
-		neighbours:  relay.New(ck),
-		peerContact: contact.New(nil),
+		cache:             cachedir.New(ck),
+		cutOff:            make(chan struct{}, 1),
+		reregister:        make(chan struct{}, 1),
+		quarantine:        quarantine.NewTracker(ck),
+		neighbours:        relay.New(ck),
+		peerContact:       contact.New(nil),
 	}
+	no.pool = attempt.NewPool(attempt.Options{
+		Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened, StartCodec: deps.Starts, IsConfirmed: no.isStoreFollowed,
+	})
 	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement, OnReachChange: no.noteReach})
 	no.hostCount.Store(1)
 	no.currentSettings.Store(&st)
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -13,6 +13,10 @@
 	streamRetention = time.Minute
 	// unregisteredRecordDelay is how long a host that is not registered leaves it to others to record software versions.
 	unregisteredRecordDelay = 3 * time.Second
+	// maxConfirmationAge is the age from which what the host knows of the metadata store is in doubt. It is longer where the store
+	// is watched less often, by confirmationSlack more than the time between two answers.
+	maxConfirmationAge = 2 * time.Second
+	confirmationSlack  = 300 * time.Millisecond
 )
 
 // newReleaseHistory returns what keeps the software versions of each service in the metadata store.
@@ -35,11 +39,24 @@
 // newOriginDirectory returns what remembers which software version began each stream.
 func (no *Node) newOriginDirectory() *origin.Directory {
 	return origin.New(origin.Options{
-		Clock: no.ck, Host: no.st.Name, Hosts: no.allHosts, Sole: no.storeState.releases.Sole, Retention: streamRetention,
+		Clock: no.ck, Host: no.st.Name, Hosts: no.allHosts, Sole: no.soleSoftware, Retention: streamRetention,
 		Send: func(host string, data []byte) { no.exchange.SendMessage(host, data) },
 	})
 }
 
+// soleSoftware returns the only software version that a stream of a service can have begun at; ok is false if there may be several.
+func (no *Node) soleSoftware(service string) (version string, ok bool) {
+	if no.fleet.HasOtherStart(service) {
+		return "", false
+	}
+	return no.storeState.releases.Sole(service)
+}
+
+// isStoreFollowed reports whether the host has lately learned what there is in the metadata store.
+func (no *Node) isStoreFollowed() bool {
+	return no.storeState.contact.IsWithin(max(maxConfirmationAge, watchWait+no.watchPause()+confirmationSlack))
+}
+
 // handleMessage handles a message from another host.
 func (no *Node) handleMessage(data []byte) {
 	if err := no.origins.Handle(data); err != nil {
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -129,6 +129,12 @@
 	return ok
 }
 
+// IsUnversioned reports whether the endpoints of a service report no software version.
+func (di *Directory) IsUnversioned(service string) bool {
+	software, ok := di.opts.Sole(service)
+	return ok && software == ""
+}
+
 // Record remembers what began a stream, and tells other hosts unless the service has only one software version. It is called
 // before the first event is forwarded.
 func (di *Directory) Record(st Stream, or Origin) {
--- a/internal/standin/site/endpoint.go
+++ b/internal/standin/site/endpoint.go
@@ -198,6 +198,8 @@
 	}
 	ep.stoppedAt = time.Now()
 	_ = ep.server.Close()
+	// A server that has not begun to serve does not know its listener.
+	_ = ep.listener.Close()
 	close(ep.closed)
 }
 
