--- a/internal/attempt/end.go
+++ b/internal/attempt/end.go
@@ -64,7 +64,7 @@
 	defer oc.mu.Unlock()
 	for cn := range oc.conns[target] {
 		switch {
-		case cn == except || cn.openedAt.After(t):
+		case cn == except || cn.establishedAt.After(t):
 		case isEstablished(cn.Conn):
 			open++
 		default:
