origin, release: let streams go on only where someone vouches for one version

Clients that took a stream up at a host out of step got a stream with events of two software versions. The host answered from what it had last read of the versions in service, whatever its age, and took silence of the hosts that it asked for "nobody knows better".

A take-up whose origin nobody remembers now needs a vouch that the service has one version: a reading of the record in the metadata store that began after the take-up arrived, shared by all that wait; without one, that of a host that was asked; without any, the agreement of all that were asked, which exist. Silence is none. A host without others keeps its belief: nobody else can have begun a stream since it read that there is one version. What was decided at the begin or the take-up of a stream is not decided anew in later attempts from a staler view; they may only add a doubt. Readings of a store that was restored from a copy count only some seconds later. Messages between hosts get optional fields; answers without them are no vouch.

Find returns what is known as one value; its tests unpack it, and check the same.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -59,6 +59,8 @@
 		pinnedVersion uint64
 		// begun is what began the stream; nil before its first event. The stream goes on only at the same software version.
 		begun *origin.Origin
+		// isOnlyVersion is set if the service had only one software version when that was fixed.
+		isOnlyVersion bool
 		// silent counts the endpoints that did not respond to the request, unless the client or the deadline ended the attempt.
 		silent int
 		// hasTriedNeighbours is set once neighbours have been tried, and isRelayed once one has a response of an endpoint.
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/fleet"
@@ -14,20 +15,21 @@
 // findOrigin finds what began the stream that the client takes up. It reports whether the stream may go on.
 func (fw *forwarder) findOrigin(ctx context.Context) bool {
 	rq := fw.rq
-	or, from := fw.gw.opts.Origins.Find(ctx, origin.Stream{Team: rq.teamName(), Request: rq.Resumes}, rq.service.Name)
-	fw.logTakeUp(or, from)
-	if from == origin.Unknown || or.Service != rq.service.Name {
+	fi := fw.gw.opts.Origins.Find(ctx, origin.Stream{Team: rq.teamName(), Request: rq.Resumes}, rq.service.Name)
+	fw.logTakeUp(fi)
+	if !fi.IsKnown() || fi.Origin.Service != rq.service.Name {
 		return false
 	}
-	fw.begun = &or
-	return fw.isOriginKnown()
+	fw.begun, fw.isOnlyVersion = &fi.Origin, fi.IsSole
+	return true
 }
 
 // logTakeUp logs what is known of the stream that the client takes up.
-func (fw *forwarder) logTakeUp(or origin.Origin, from origin.Source) {
+func (fw *forwarder) logTakeUp(fi origin.Finding) {
 	fields := fw.gw.opts.ContactFields()
 	fields["request"], fields["resumes"], fields["after-event"] = fw.rq.ID, fw.rq.Resumes, fw.rq.LastEventID
-	fields["service"], fields["software"], fields["known-from"] = or.Service, or.Software, string(from)
+	fields["service"], fields["software"], fields["known-from"] = fi.Origin.Service, fi.Origin.Software, string(fi.Source)
+	fields["known-by"], fields["known-age-ms"] = strings.Join(fi.Hosts, " "), fi.Age.Milliseconds()
 	fields["relayed"] = fw.rq.relayedFrom != nil
 	fw.gw.opts.Log.WithFields(fields).Info("Stream is taken up.")
 }
@@ -45,14 +47,15 @@
 		if fi.IsAt(pl.view.StartTimeMs, pl.view.SoftwareVersion) {
 			fw.begun.Software = pl.view.SoftwareVersion
 		}
+		fw.isOnlyVersion = fw.gw.opts.Origins.IsSole(rq.service.Name)
 	}
 	fw.gw.opts.Origins.Record(origin.Stream{Team: rq.teamName(), Request: rq.ID}, *fw.begun)
 }
 
 // isOriginKnown reports whether the software version at which a stream must go on is known. Without any versions all endpoints
-// of the service count as having the same.
+// of the service count as having the same, if that held when the stream was begun or taken up, and still does.
 func (fw *forwarder) isOriginKnown() bool {
-	return fw.begun == nil || fw.begun.Software != "" || fw.gw.opts.Origins.IsSole(fw.begun.Service)
+	return fw.begun == nil || fw.begun.Software != "" || (fw.isOnlyVersion && fw.gw.opts.Origins.IsSole(fw.begun.Service))
 }
 
 // refuseTakeUp refuses to resume a stream of which it is not known which software version began it, or that began at another
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -30,12 +30,15 @@
 	gw      *gateway.Gateway
 }
 
-func newVersionFixture(sole func(string) (string, bool)) *versionFixture {
+func newVersionFixture(sole func(string) (string, bool), configure ...func(*gateway.Options)) *versionFixture {
 	ck := clock.System()
 	fx := &versionFixture{fl: fleet.New(fleet.Options{Clock: ck, Host: "host"}), origins: origin.New(origin.Options{Sole: sole})}
 	opts := gatewayOptions(ck, fx.fl)
 	opts.Budget = retry.NewWindowBudget(ck, retry.Limits{Window: time.Second, Slack: 1000})
 	opts.Origins = fx.origins
+	for _, set := range configure {
+		set(&opts)
+	}
 	fx.gw = gateway.New(opts)
 	fx.gw.Configure(catalog.New(catalog.Spec{
 		Version: 1, Routes: []catalog.Route{{
@@ -143,12 +146,12 @@
 		status, _ := fx.takeUp(first, "", "")
 		require.Equal(t, http.StatusOK, status)
 		before := [2]int64{engines.read.Load(), others.read.Load()}
-		or, from := fx.origins.Find(t.Context(), origin.Stream{Request: first}, "")
-		require.NotEqual(t, origin.Unknown, from)
+		fi := fx.origins.Find(t.Context(), origin.Stream{Request: first}, "")
+		require.NotEqual(t, origin.Unknown, fi.Source)
 		status, _ = fx.takeUp(fmt.Sprint("second-", i), first, "1")
 		require.Equal(t, http.StatusOK, status)
 		after := [2]int64{engines.read.Load(), others.read.Load()}
-		if or.Service == "engines" {
+		if fi.Origin.Service == "engines" {
 			before[0]++
 		} else {
 			before[1]++
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/attempt"
+	"github.com/bergamotway/bergamotway/internal/metastore"
 	"github.com/bergamotway/bergamotway/internal/node"
 	"github.com/bergamotway/bergamotway/internal/standin/site"
 	"github.com/bergamotway/bergamotway/internal/telemetry"
@@ -105,6 +106,11 @@
 
 // startHostWithDialer starts a host that reaches the endpoints through a dialer.
 func (env *testEnv) startHostWithDialer(name string, dialer attempt.Dialer) (*node.Node, context.CancelFunc) {
+	return env.startHostWithStore(name, dialer, platform.NewMetadataStore(env.store.Address(), nil))
+}
+
+// startHostWithStore starts a host with a client of the metadata store.
+func (env *testEnv) startHostWithStore(name string, dialer attempt.Dialer, store metastore.Store) (*node.Node, context.CancelFunc) {
 	meter, err := telemetry.New()
 	require.NoError(env.t, err)
 	lg := logrus.New()
@@ -114,7 +120,7 @@
 		Name: name, Zone: "here", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		Store: env.store.Address(), Bounds: env.bounds,
 	}, node.Dependencies{
-		Store: platform.NewMetadataStore(env.store.Address(), nil), Decoder: platform.Decoder{}, Codec: platform.Codec{},
+		Store: store, Decoder: platform.Decoder{}, Codec: platform.Codec{},
 		Caches: engines, Engines: engines, Meter: meter, Dialer: dialer,
 	}, lg)
 	require.NoError(env.t, err)
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/origin"
@@ -36,7 +37,8 @@
 func (no *Node) newOriginDirectory() *origin.Directory {
 	return origin.New(origin.Options{
 		Clock: no.ck, Host: no.st.Name, Hosts: no.allHosts, Sole: no.storeState.releases.Sole, Retention: streamRetention,
-		Send: func(host string, data []byte) { no.exchange.SendMessage(host, data) },
+		Confirm: func(ctx context.Context, _ string) error { return no.storeState.releases.Confirm(ctx) },
+		Send:    func(host string, data []byte) { no.exchange.SendMessage(host, data) },
 	})
 }
 
--- a/internal/origin/message.go
+++ b/internal/origin/message.go
@@ -1,11 +1,9 @@
 package origin
 
 import (
-	"context"
 	"encoding/base64"
 	"encoding/json"
 	"fmt"
-	"time"
 )
 
 type (
@@ -23,6 +21,20 @@
 		Key   string `json:"k,omitempty"`
 		// IsAnswer is set in an answer. Origins holds the stream then, if the sender remembers it.
 		IsAnswer bool `json:"a,omitempty"`
+		// Service is the service of the stream that is asked for, and Confirm asks the receiver to confirm with the metadata
+		// store what it holds of its versions. Hosts of earlier versions ignore both.
+		Service string `json:"s,omitempty"`
+		Confirm bool   `json:"c,omitempty"`
+		// Belief is what the sender of an answer holds of the versions of the service; nil for hosts of earlier versions.
+		Belief *wireBelief `json:"b,omitempty"`
+	}
+
+	wireBelief struct {
+		// IsSole is set if the service has only one version, Software.
+		IsSole   bool   `json:"o,omitempty"`
+		Software string `json:"v,omitempty"`
+		// IsConfirmed is set if a reading of the metadata store that began after the question has confirmed it.
+		IsConfirmed bool `json:"c,omitempty"`
 	}
 
 	wireOrigin struct {
@@ -66,7 +78,7 @@
 		if err != nil {
 			return err
 		}
-		di.answer(me, key)
+		di.handleQuestion(me, key)
 	default:
 		di.mu.Lock()
 		defer di.mu.Unlock()
@@ -94,84 +106,6 @@
 	}
 }
 
-// ask asks the hosts that keep a stream for its origin, until one of them knows it or all have answered.
-func (di *Directory) ask(ctx context.Context, key streamKey, timeout time.Duration) (Origin, bool) {
-	hosts := di.keepers(key, askedCount)
-	if len(hosts) == 0 {
-		return Origin{}, false
-	}
-	qu := &query{key: key, open: make(map[string]bool), done: make(chan struct{})}
-	for _, host := range hosts {
-		qu.open[host] = true
-	}
-	di.mu.Lock()
-	di.lastQuery++
-	number := di.lastQuery
-	di.queries[number] = qu
-	di.mu.Unlock()
-	expired := di.opts.Clock.After(timeout)
-	for isOver := false; !isOver; {
-		for _, host := range di.unanswered(qu) {
-			di.send(host, message{Query: number, Key: encodeKey(key)})
-		}
-		select {
-		case <-qu.done:
-			isOver = true
-		case <-ctx.Done():
-			isOver = true
-		case <-expired:
-			isOver = true
-		case <-di.opts.Clock.After(resendInterval):
-		}
-	}
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	delete(di.queries, number)
-	return qu.origin, qu.found
-}
-
-// unanswered returns the hosts that have not answered a query.
-func (di *Directory) unanswered(qu *query) []string {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	out := make([]string, 0, len(qu.open))
-	for host := range qu.open {
-		out = append(out, host)
-	}
-	return out
-}
-
-// answer answers a question of another host.
-func (di *Directory) answer(question message, key streamKey) {
-	re := message{Query: question.Query, IsAnswer: true}
-	di.mu.Lock()
-	or, ok := di.get(key)
-	di.mu.Unlock()
-	if ok {
-		re.Origins = []wireOrigin{encodeOrigin(key, or)}
-	}
-	di.send(question.Host, re)
-}
-
-// handleAnswer applies an answer to the query that it belongs to.
-func (di *Directory) handleAnswer(me message, origins map[streamKey]Origin) {
-	di.mu.Lock()
-	defer di.mu.Unlock()
-	qu := di.queries[me.Query]
-	if qu == nil || !qu.open[me.Host] {
-		return
-	}
-	delete(qu.open, me.Host)
-	or, ok := origins[qu.key]
-	if ok {
-		qu.origin, qu.found = or, true
-	}
-	if ok || len(qu.open) == 0 {
-		delete(di.queries, me.Query)
-		close(qu.done)
-	}
-}
-
 func (di *Directory) send(host string, me message) {
 	me.Host = di.opts.Host
 	// Numbers and strings always encode.
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -27,6 +27,10 @@
 	resendInterval  = 60 * time.Millisecond
 	findTimeout     = 250 * time.Millisecond
 	soleFindTimeout = 90 * time.Millisecond
+	// confirmTimeout bounds the time for a confirmation by the metadata store, and vouchTimeout that for the others' vouches,
+	// which they confirm.
+	confirmTimeout = 250 * time.Millisecond
+	vouchTimeout   = 400 * time.Millisecond
 	// maxStreams bounds the streams of one generation of a table. No further ones are remembered then, so that new ones do not
 	// push out those that clients may take up.
 	maxStreams = 1 << 15
@@ -63,6 +67,9 @@
 		// Sole returns the only software version that a stream of a service can have begun at; ok is false if there may be
 		// several. Nil means that each service has one.
 		Sole func(service string) (software string, ok bool)
+		// Confirm returns nil once what Sole returns of a service includes a reading of the metadata store that began after the
+		// call. Nil means that Sole always knows.
+		Confirm func(ctx context.Context, service string) error
 		// Retention is how long a stream is remembered at least; zero means a minute.
 		Retention time.Duration
 	}
@@ -79,34 +86,12 @@
 		// queries holds the open queries by their numbers.
 		queries   map[uint64]*query
 		lastQuery uint64
+		// vouches holds the answers to questions of others that want a confirmation.
+		vouches map[vouchKey]*vouch
 	}
 
-	// Source is from where a host knows what began a stream.
-	Source string
-
 	// streamKey identifies a stream in messages and tables.
 	streamKey [16]byte
-
-	// query collects the answers about one stream.
-	query struct {
-		key streamKey
-		// open holds the hosts that have not answered yet.
-		open   map[string]bool
-		origin Origin
-		found  bool
-		done   chan struct{}
-	}
-)
-
-const (
-	// Unknown means that the origin is not known, and there may be several.
-	Unknown Source = "unknown"
-	// Remembered means that the host has begun the stream, or was told of it.
-	Remembered Source = "remembered"
-	// Answered means that another host has answered.
-	Answered Source = "answered"
-	// OnlyVersion means that the service has one software version.
-	OnlyVersion Source = "only-version"
 )
 
 // New returns a directory that remembers no streams.
@@ -120,7 +105,12 @@
 	if opts.Sole == nil {
 		opts.Sole = func(string) (string, bool) { return "", true }
 	}
-	return &Directory{opts: opts, shared: make(map[string]bool), queries: make(map[uint64]*query)}
+	if opts.Confirm == nil {
+		opts.Confirm = func(context.Context, string) error { return nil }
+	}
+	return &Directory{
+		opts: opts, shared: make(map[string]bool), queries: make(map[uint64]*query), vouches: make(map[vouchKey]*vouch),
+	}
 }
 
 // IsSole reports whether all streams of a service go on at one software version.
@@ -152,36 +142,6 @@
 	di.tell(told)
 }
 
-// Find returns what began a stream of a service, and from where that is known. It asks other hosts if this one does not know.
-func (di *Directory) Find(ctx context.Context, st Stream, service string) (Origin, Source) {
-	software, isSole := di.opts.Sole(service)
-	sole, source := Origin{Service: service, Software: software}, Unknown
-	if isSole {
-		source = OnlyVersion
-	}
-	if st.Request == "" {
-		return sole, source
-	}
-	key := st.key()
-	di.mu.Lock()
-	or, ok := di.get(key)
-	di.mu.Unlock()
-	if ok {
-		return or, Remembered
-	}
-	timeout := findTimeout
-	if isSole {
-		timeout = soleFindTimeout
-	}
-	if or, ok = di.ask(ctx, key, timeout); ok {
-		di.mu.Lock()
-		di.kept.put(key, or, di.opts.Clock.Now(), di.opts.Retention)
-		di.mu.Unlock()
-		return or, Answered
-	}
-	return sole, source
-}
-
 // key returns the key of a stream. Streams of different teams have different keys.
 func (st Stream) key() streamKey {
 	sum := sha256.Sum256([]byte(st.Team + "\x00" + st.Request))
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -85,7 +85,7 @@
 					st := origin.Stream{Team: "team", Request: fmt.Sprint("request-", i)}
 					want := origin.Origin{Service: "engines", Software: fmt.Sprint("v", i%3)}
 					nw.host(i).Record(st, want)
-					got, from := nw.host(i+1).Find(context.Background(), st, "engines")
+					got, from := split(nw.host(i+1).Find(context.Background(), st, "engines"))
 					if from != origin.Unknown {
 						require.Equal(t, want, got)
 						found++
@@ -125,7 +125,7 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					or, from := nw.host(hosts-1).Find(context.Background(), origin.Stream{Request: fmt.Sprint(i)}, "engines")
+					or, from := split(nw.host(hosts-1).Find(context.Background(), origin.Stream{Request: fmt.Sprint(i)}, "engines"))
 					mu.Lock()
 					defer mu.Unlock()
 					if from != origin.Unknown && or.Software == "v1" {
@@ -148,7 +148,7 @@
 	for _, name := range nw.names {
 		nw.start(name, several)
 	}
-	_, from := nw.host(1).Find(context.Background(), st, "engines")
+	_, from := split(nw.host(1).Find(context.Background(), st, "engines"))
 	require.Equal(t, origin.Unknown, from)
 }
 
@@ -158,7 +158,7 @@
 	nw.host(0).Record(origin.Stream{Request: "a"}, origin.Origin{Service: "engines", Software: "v1"})
 	require.Zero(t, nw.messages, "there is nothing to tell")
 	for _, request := range []string{"a", "never-begun", ""} {
-		or, from := nw.host(1).Find(context.Background(), origin.Stream{Request: request}, "engines")
+		or, from := split(nw.host(1).Find(context.Background(), origin.Stream{Request: request}, "engines"))
 		require.NotEqual(t, origin.Unknown, from)
 		require.Equal(t, origin.Origin{Service: "engines", Software: "v1"}, or)
 	}
@@ -176,7 +176,7 @@
 	nw.host(0).Record(origin.Stream{Request: "new"}, origin.Origin{Service: "engines", Software: "v2"})
 	nw.kill("host-0")
 	for i := range 100 {
-		or, from := nw.host(3).Find(context.Background(), origin.Stream{Request: fmt.Sprint("old-", i)}, "engines")
+		or, from := split(nw.host(3).Find(context.Background(), origin.Stream{Request: fmt.Sprint("old-", i)}, "engines"))
 		require.NotEqual(t, origin.Unknown, from)
 		require.Equal(t, "v1", or.Software)
 	}
@@ -186,7 +186,7 @@
 	t.Parallel()
 	nw := newNetwork(3, 0, several)
 	nw.host(0).Record(origin.Stream{Team: "one", Request: "a"}, origin.Origin{Service: "engines", Software: "v1"})
-	_, from := nw.host(0).Find(context.Background(), origin.Stream{Team: "other", Request: "a"}, "engines")
+	_, from := split(nw.host(0).Find(context.Background(), origin.Stream{Team: "other", Request: "a"}, "engines"))
 	require.Equal(t, origin.Unknown, from)
 }
 
@@ -198,7 +198,7 @@
 	nw.host(0).Record(st, origin.Origin{Service: "engines", Software: "v1"})
 	nw.host(1).Record(st, origin.Origin{Service: "engines", Software: "v2"})
 	for i := range 3 {
-		or, from := nw.host(i).Find(context.Background(), st, "engines")
+		or, from := split(nw.host(i).Find(context.Background(), st, "engines"))
 		require.NotEqual(t, origin.Unknown, from)
 		require.Empty(t, or.Software)
 	}
@@ -211,10 +211,10 @@
 	st := origin.Stream{Request: "a"}
 	di.Record(st, origin.Origin{Service: "engines", Software: "v1"})
 	ck.Advance(time.Minute)
-	_, from := di.Find(context.Background(), st, "engines")
+	_, from := split(di.Find(context.Background(), st, "engines"))
 	require.NotEqual(t, origin.Unknown, from)
 	ck.Advance(2 * time.Minute)
-	_, from = di.Find(context.Background(), st, "engines")
+	_, from = split(di.Find(context.Background(), st, "engines"))
 	require.Equal(t, origin.Unknown, from)
 }
 
@@ -227,7 +227,7 @@
 	for i := range 40_000 {
 		di.Record(origin.Stream{Team: "other", Request: fmt.Sprint(i)}, origin.Origin{Service: "engines", Software: "v2"})
 	}
-	or, from := di.Find(context.Background(), first, "engines")
+	or, from := split(di.Find(context.Background(), first, "engines"))
 	require.NotEqual(t, origin.Unknown, from)
 	require.Equal(t, "v1", or.Software)
 }
@@ -241,3 +241,6 @@
 	}
 	require.NoError(t, di.Handle([]byte(`{"q":7,"a":true}`)))
 }
+
+// split returns the origin of a finding and from where it is known.
+func split(fi origin.Finding) (origin.Origin, origin.Source) { return fi.Origin, fi.Source }
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -50,6 +50,13 @@
 
 		mu       sync.Mutex
 		services map[string]*service
+		// era is that of the last snapshot. Until settledAt the records may lack what an earlier era had.
+		era       uint64
+		settledAt time.Time
+		// next is the reading that begins next; nil if none is wanted. readAt is when the last one began.
+		next      *reading
+		isReading bool
+		readAt    time.Time
 	}
 
 	// service holds the software versions of one service.
@@ -77,6 +84,10 @@
 // ApplySnapshot replaces the known records by those of a complete snapshot of the store.
 func (hi *History) ApplySnapshot(sn metastore.Snapshot) {
 	hi.mu.Lock()
+	if hi.era != 0 && sn.Revision.Era > hi.era {
+		hi.settledAt = hi.opts.Clock.Now().Add(restoreSettleTime)
+	}
+	hi.era = sn.Revision.Era
 	for _, se := range hi.services {
 		se.recorded, se.revision = nil, metastore.Revision{}
 	}
