origin: ask sixteen hosts where the store confirms nothing

Clients of hosts that were cut off together from the metadata store and from the others could still get streams of two software versions: where no reading confirmed anything, five hosts of the same side that agreed were enough.

After the hosts that may know the origin, eleven more have to agree now, where there are so many. That costs a second round while the store confirms nothing to any host that was asked; the first round is as before. TestHostOutOfStepDoesNotGuess plays half of the hosts cut off together, 600 take-ups each; with five hosts it fails (11 to 16 joined).

--- a/internal/origin/find.go
+++ b/internal/origin/find.go
@@ -72,7 +72,7 @@
 	}
 	var first poll
 	if st.Request != "" && remembered.Source == Unknown {
-		first = di.ask(ctx, message{Key: encodeKey(key), Service: service}, key, timeout, nil)
+		first = di.ask(ctx, di.keepers(key, askedCount), message{Key: encodeKey(key), Service: service}, key, timeout, nil)
 		if first.isFound {
 			remembered = di.adopt(key, first)
 		}
@@ -94,35 +94,40 @@
 	if first.hasAllAnswers() || st.Request == "" {
 		return unknown
 	}
-	if second := di.ask(ctx, message{Key: encodeKey(key), Service: service}, key, findTimeout, nil); second.isFound {
+	if second := di.ask(ctx, di.keepers(key, askedCount), message{Key: encodeKey(key), Service: service}, key, findTimeout, nil); second.isFound {
 		return di.adopt(key, second)
 	}
 	return unknown
 }
 
 // findVouched asks others whether a service has only one software version, while the metadata store does not confirm it to this host.
+// First it asks the hosts that may know the origin; if the store confirms it to none of them, it takes more hosts that agree.
 func (di *Directory) findVouched(ctx context.Context, key streamKey, sole Origin, confirmed <-chan time.Duration) Finding {
-	po := di.ask(ctx, message{Key: encodeKey(key), Service: sole.Service, Confirm: true}, key, vouchTimeout, confirmed)
 	unknown := Finding{Origin: Origin{Service: sole.Service}, Source: Unknown}
-	// What this host holds may have changed meanwhile.
-	software, isSole := di.opts.Sole(sole.Service)
-	switch {
-	case po.isFound:
-		return di.adopt(key, po)
-	case !isSole || software != sole.Software || po.isContradicted(software):
-		return unknown
-	case po.isConfirmed:
-		return Finding{Origin: sole, Source: OnlyVersion, IsSole: true, Age: po.age}
-	case len(po.vouchers) > 0:
-		return Finding{Origin: sole, Source: Vouched, IsSole: true, Hosts: po.vouchers, Age: po.took}
-	case !po.hasAllAnswers() || len(po.beliefs) < po.asked:
-		return unknown
-	case po.asked == 0:
+	hosts := di.keepers(key, agreeingCount)
+	count := min(askedCount, len(hosts))
+	for _, asked := range [][]string{hosts[:count], hosts[count:]} {
+		po := di.ask(ctx, asked, message{Key: encodeKey(key), Service: sole.Service, Confirm: true}, key, vouchTimeout, confirmed)
+		// What this host holds may have changed meanwhile.
+		software, isSole := di.opts.Sole(sole.Service)
+		switch {
+		case po.isFound:
+			return di.adopt(key, po)
+		case !isSole || software != sole.Software || po.isContradicted(software):
+			return unknown
+		case po.isConfirmed:
+			return Finding{Origin: sole, Source: OnlyVersion, IsSole: true, Age: po.age}
+		case len(po.vouchers) > 0:
+			return Finding{Origin: sole, Source: Vouched, IsSole: true, Hosts: po.vouchers, Age: po.took}
+		case len(po.beliefs) < po.asked:
+			return unknown
+		}
+	}
+	if len(hosts) == 0 {
 		// Nobody else can have begun a stream since this host read that there is one version.
 		return Finding{Origin: sole, Source: Alone, IsSole: true}
-	default:
-		return Finding{Origin: sole, Source: Agreed, IsSole: true, Hosts: po.hosts()}
 	}
+	return Finding{Origin: sole, Source: Agreed, IsSole: true, Hosts: hosts}
 }
 
 // adopt remembers what another host has answered.
--- a/internal/origin/origin.go
+++ b/internal/origin/origin.go
@@ -22,6 +22,9 @@
 	// host that began the stream is left out where it ranks among them, and another may have joined since.
 	keeperCount = 3
 	askedCount  = 5
+	// agreeingCount is the number of hosts that have to agree where the metadata store confirms nothing to any of them: so many
+	// that hosts that are cut off together hardly ever ask only each other.
+	agreeingCount = 16
 	// resendInterval is the pause after which hosts that have not answered are asked again, since datagrams may be lost.
 	// findTimeout bounds the time for all answers, and soleFindTimeout that while only one version is known.
 	resendInterval  = 60 * time.Millisecond
--- a/internal/origin/poll.go
+++ b/internal/origin/poll.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 )
 
@@ -34,9 +33,10 @@
 	}
 )
 
-// ask asks the hosts that keep a stream, until one of them knows its origin, all have answered or confirmed receives a value.
-func (di *Directory) ask(ctx context.Context, question message, key streamKey, timeout time.Duration, confirmed <-chan time.Duration) poll {
-	hosts := di.keepers(key, askedCount)
+// ask asks hosts about a stream, until one of them knows its origin, all have answered or confirmed receives a value.
+func (di *Directory) ask(
+	ctx context.Context, hosts []string, question message, key streamKey, timeout time.Duration, confirmed <-chan time.Duration,
+) poll {
 	if len(hosts) == 0 && confirmed == nil {
 		return poll{}
 	}
@@ -134,13 +134,3 @@
 	}
 	return false
 }
-
-// hosts returns the hosts that hold something of the versions of the service.
-func (po poll) hosts() []string {
-	out := make([]string, 0, len(po.beliefs))
-	for host := range po.beliefs {
-		out = append(out, host)
-	}
-	slices.Sort(out)
-	return out
-}
--- a/internal/origin/vouch_test.go
+++ b/internal/origin/vouch_test.go
@@ -160,24 +160,26 @@
 // Guards against hosts out of step that let streams go on at the software version of before.
 func TestHostOutOfStepDoesNotGuess(t *testing.T) {
 	t.Parallel()
-	const streams = 60
 	for _, tc := range []struct {
-		name   string
-		cut    func(hosts int) int
-		isAway bool
-		group  int
-		thaws  bool
+		name    string
+		cut     func(hosts int) int
+		isAway  bool
+		group   int
+		thaws   bool
+		streams int
 	}{
 		{name: "store-away", cut: one, isAway: true},
 		{name: "store-and-others-away", cut: one, isAway: true, group: 1},
 		{name: "others-away", cut: one, group: 1},
 		{name: "third-cut-off-from-store", cut: third, isAway: true},
-		{name: "third-cut-off-together", cut: third, isAway: true, group: 1},
+		{name: "third-cut-off-together", cut: third, isAway: true, group: 1, streams: 600},
+		{name: "half-cut-off-together", cut: func(hosts int) int { return hosts / 2 }, isAway: true, group: 1, streams: 600},
 		{name: "just-thawed", cut: third, isAway: true, group: 1, thaws: true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			forHosts(t, func(t *testing.T, hosts int, lossRate float64) {
+				streams := max(60, tc.streams)
 				sh := newSteppedHosts(hosts, lossRate)
 				sh.set(tc.cut(hosts), tc.isAway, tc.group)
 				sh.release()
