gateway, node, relay: pass on what began a stream with its take-up

A host that reaches no endpoint passes take-ups on to a neighbour, but not what it knew of the stream. The neighbour decided alone, and one that was out of step joined events of two software versions: 6 of 16 take-ups, with two hosts of which the neighbour was cut off from the store and from the others while a version joined.

The request now names the origin in Bergamotway-Origin, and the neighbour uses it. The header counts only on the listener for hosts; that of a client is dropped when its request is passed on, and an odd value is refused as malformed.

TestNeighbourOutOfStepDoesNotJoinVersions failed before.

--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -10,12 +11,27 @@
 	"github.com/bergamotway/bergamotway/internal/origin"
 )
 
-const errOtherSoftware = forwardError("the endpoint no longer has the software version that began the stream")
+const (
+	// headerOrigin is the header in which a host that passes a take-up on tells what began the stream.
+	headerOrigin = "Bergamotway-Origin"
+	// originService, originSoftware and originSource are its fields.
+	originService  = "service"
+	originSoftware = "software"
+	originSource   = "source"
+
+	errOtherSoftware = forwardError("the endpoint no longer has the software version that began the stream")
+	errOddOrigin     = forwardError("the origin that another host passed on is malformed")
+)
 
 // findOrigin finds what began the stream that the client takes up. It reports whether the stream may go on.
 func (fw *forwarder) findOrigin(ctx context.Context) bool {
 	rq := fw.rq
-	fi := fw.gw.opts.Origins.Find(ctx, origin.Stream{Team: rq.teamName(), Request: rq.Resumes}, rq.service.Name)
+	var fi origin.Finding
+	if from := rq.relayedFrom; from != nil && from.begun.Source != "" {
+		fi = from.begun
+	} else {
+		fi = fw.gw.opts.Origins.Find(ctx, origin.Stream{Team: rq.teamName(), Request: rq.Resumes}, rq.service.Name)
+	}
 	fw.logTakeUp(fi)
 	if !fi.IsKnown() || fi.Origin.Service != rq.service.Name {
 		return false
@@ -72,3 +88,35 @@
 	}
 	return fw.rq.route.TargetLatency - fw.gw.opts.Clock.Now().Sub(fw.rq.arrived)
 }
+
+// encodeOrigin encodes what began the stream for another host. It is empty, which drops the header of a client, if that is open.
+func (fw *forwarder) encodeOrigin() []string {
+	if fw.begun == nil {
+		return []string{}
+	}
+	values := url.Values{originService: {fw.begun.Service}, originSoftware: {fw.begun.Software}}
+	if fw.isOnlyVersion {
+		values.Set(originSource, string(origin.OnlyVersion))
+	}
+	return []string{values.Encode()}
+}
+
+// decodeOrigin decodes what another host knows of the beginning of a stream. The finding has no source if it says nothing.
+func decodeOrigin(texts []string) (origin.Finding, error) {
+	if len(texts) == 0 {
+		return origin.Finding{}, nil
+	}
+	values, err := url.ParseQuery(texts[0])
+	if err != nil || len(texts) > 1 || len(values[originService]) != 1 || len(values[originSoftware]) != 1 || values.Get(originService) == "" {
+		return origin.Finding{}, errOddOrigin
+	}
+	fi := origin.Finding{Origin: origin.Origin{Service: values.Get(originService), Software: values.Get(originSoftware)}, Source: origin.Relayed}
+	switch source, ok := values[originSource]; {
+	case !ok:
+	case len(source) == 1 && source[0] == string(origin.OnlyVersion):
+		fi.IsSole = true
+	default:
+		return origin.Finding{}, errOddOrigin
+	}
+	return fi, nil
+}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/fleet"
+	"github.com/bergamotway/bergamotway/internal/origin"
 	"github.com/bergamotway/bergamotway/internal/relay"
 )
 
@@ -50,19 +51,27 @@
 		gw.refuse(w, &Request{relayedFrom: &relayedFrom{}}, http.StatusBadRequest, "malformed", 0, err)
 		return
 	}
+	begun, err := decodeOrigin(hr.Header[headerOrigin])
+	if err != nil {
+		gw.refuse(w, &Request{relayedFrom: &relayedFrom{}}, http.StatusBadRequest, "malformed", 0, err)
+		return
+	}
 	hr.Header.Del(headerAttempts)
+	hr.Header.Del(headerOrigin)
 	defer gw.relayed.Add(-1)
 	if gw.relayed.Add(1) > maxRelayed {
 		gw.refuse(w, &Request{relayedFrom: &relayedFrom{}}, http.StatusServiceUnavailable, "relay-full", transientRetryAfter, nil)
 		return
 	}
-	gw.serve(w, hr, &relayedFrom{attempts: attempts})
+	gw.serve(w, hr, &relayedFrom{attempts: attempts, begun: begun})
 }
 
 // relayedFrom describes a request that another host has passed on.
 type relayedFrom struct {
 	// attempts is the number of endpoints that may have run it.
 	attempts int
+	// begun is what began the stream that the client takes up. It has no source if the other host does not say.
+	begun origin.Finding
 }
 
 // takesNeighbour reports whether the next attempt goes through a neighbour: no endpoint of the service responds to this host, or
@@ -83,7 +92,7 @@
 	fw.hasTriedNeighbours = true
 	var lastErr error = errNoNeighbour
 	tried := 0
-	for _, ho := range gw.opts.Neighbours.Choose(rq.ID, rq.service.Name, maxNeighbourTries) {
+	for _, ho := range fw.chooseNeighbours() {
 		remaining := rq.deadline.Sub(gw.opts.Clock.Now())
 		if remaining < minAttemptTime || clientCtx.Err() != nil || tried == maxNeighbours {
 			break
@@ -108,6 +117,14 @@
 	return stepRetry, lastErr
 }
 
+// chooseNeighbours returns the neighbours to try. One that does not read what began a stream would guess it.
+func (fw *forwarder) chooseNeighbours() []relay.Host {
+	if fw.begun != nil {
+		return fw.gw.opts.Neighbours.ChooseForTakeUp(fw.rq.ID, fw.rq.service.Name, maxNeighbourTries)
+	}
+	return fw.gw.opts.Neighbours.Choose(fw.rq.ID, fw.rq.service.Name, maxNeighbourTries)
+}
+
 // tryNeighbour passes the request on to a neighbour. The result isOver reports that no other may be tried.
 func (fw *forwarder) tryNeighbour(ctx, clientCtx context.Context, ho relay.Host, remaining time.Duration) (step nextStep, isOver bool, err error) {
 	gw, rq := fw.gw, fw.rq
@@ -115,7 +132,7 @@
 	fw.endpointID = ho.Name
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	head := gw.opts.Codec.EncodeRelayHeader(rq, remaining, http.Header{headerAttempts: {strconv.Itoa(fw.sent)}})
+	head := gw.opts.Codec.EncodeRelayHeader(rq, remaining, http.Header{headerAttempts: {strconv.Itoa(fw.sent)}, headerOrigin: fw.encodeOrigin()})
 	rs, err := gw.opts.RelayPool.Send(ctx, pl.target(), 0, rq.Method, head, rq.Body)
 	var unsent *attempt.NotSentError
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -349,7 +349,7 @@
 	hosts := make([]relay.Host, 0, len(peers))
 	for _, pe := range peers {
 		if pe.Relay.IsValid() {
-			hosts = append(hosts, relay.Host{Name: pe.Name, Address: pe.Relay})
+			hosts = append(hosts, relay.Host{Name: pe.Name, Address: pe.Relay, TakesOrigins: pe.TakesOrigins})
 		}
 	}
 	no.neighbours.SetHosts(hosts)
--- a/internal/node/register.go
+++ b/internal/node/register.go
@@ -13,7 +13,9 @@
 // the lease until ctx ends. Then it removes the registration.
 func (no *Node) maintainRegistration(ctx context.Context) {
 	var lease uint64
-	value, err := json.Marshal(hostRegistration{Zone: no.st.Zone, Weight: no.st.Weight, Address: no.exchange.Address(), Relay: no.relayListener.Addr().String()})
+	value, err := json.Marshal(hostRegistration{
+		Zone: no.st.Zone, Weight: no.st.Weight, Address: no.exchange.Address(), Relay: no.relayListener.Addr().String(), Origins: true,
+	})
 	if err != nil {
 		no.log.WithField("cause", err.Error()).Error("Encoding the host's registration failed.")
 		return
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -62,6 +62,8 @@
 		// Relay is the address on which the host takes requests from its peers; empty for hosts of earlier versions.
 		Relay  string  `json:"relay,omitempty"`
 		Weight float64 `json:"weight,omitempty"`
+		// Origins is set if the host reads what began a stream from a request that is passed on; false for hosts of earlier versions.
+		Origins bool `json:"origins,omitempty"`
 	}
 
 	// storeState follows the metadata store and passes its items to the components that use them. The
@@ -334,7 +336,7 @@
 	if err != nil {
 		return peering.Peer{}, false
 	}
-	pe := peering.Peer{Name: name, Zone: hr.Zone, Capacity: hr.Weight, Address: ap}
+	pe := peering.Peer{Name: name, Zone: hr.Zone, Capacity: hr.Weight, Address: ap, TakesOrigins: hr.Origins}
 	if relay, err := netip.ParseAddrPort(hr.Relay); err == nil {
 		pe.Relay = relay
 	}
--- a/internal/node/step_test.go
+++ b/internal/node/step_test.go
@@ -168,3 +168,45 @@
 	}
 	require.GreaterOrEqual(t, env.takeUpAll(hosts[0], streams), streamCount*9/10)
 }
+
+// Guards against a neighbour out of step that decides by itself where a stream goes on that the first host knows.
+func TestNeighbourOutOfStepDoesNotJoinVersions(t *testing.T) {
+	t.Parallel()
+	const streamCount = 16
+	for _, tc := range []struct {
+		name             string
+		isThawed         bool
+		earlier          []int
+		minimum, maximum int
+	}{
+		{name: "cut-off", minimum: 1, maximum: streamCount},
+		{name: "thawed", isThawed: true, minimum: streamCount * 9 / 10, maximum: streamCount},
+		{name: "earlier-version", earlier: []int{1}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			env := newTestEnv(t, 0, 0)
+			env.startVersions(oldSoftware, 3)
+			env.writeConfiguration()
+			dialer := &cutDialer{}
+			hosts, links := env.startLinkedHosts(2, dialer, tc.earlier...)
+			env.awaitOnlyVersion(hosts[1])
+			links[1].cutStore(true)
+			links[1].peersCut.Store(true)
+			env.startVersions(newSoftware, 3)
+			env.awaitRecorded(newSoftware)
+			<-time.After(100 * time.Millisecond)
+			streams := env.beginStreams(streamCount, hosts[0])
+			dialer.set(linkRefuses)
+			env.sendEvery(20*time.Millisecond, 400*time.Millisecond, "/query/1", hosts[0])
+			if tc.isThawed {
+				links[1].cutStore(false)
+				links[1].peersCut.Store(false)
+				<-time.After(1500 * time.Millisecond)
+			}
+			taken := env.takeUpAll(hosts[0], streams)
+			require.GreaterOrEqual(t, taken, tc.minimum)
+			require.LessOrEqual(t, taken, tc.maximum)
+		})
+	}
+}
--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -207,6 +207,8 @@
 		Address netip.AddrPort
 		// Relay is the address on which the host takes requests from its peers; the zero value means that it takes none.
 		Relay netip.AddrPort
+		// TakesOrigins is set if the host reads what began a stream from a request that is passed on to it.
+		TakesOrigins bool
 		// Capacity is the relative capacity of the host. The host with the highest capacity in a zone
 		// becomes its aggregator.
 		Capacity float64
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,8 @@
 		Name string
 		// Address is where it takes them.
 		Address netip.AddrPort
+		// TakesOrigins is set if it reads what began a stream from a request that is passed on.
+		TakesOrigins bool
 	}
 
 	// Neighbours holds the other hosts, and which of them lately could not serve a service. It is safe for concurrent use.
@@ -52,6 +54,15 @@
 // Choose returns at most count hosts for a request, in the order in which to try them. A hash of the request spreads the requests
 // over all hosts.
 func (ne *Neighbours) Choose(request, service string, count int) []Host {
+	return ne.choose(request, service, count, func(Host) bool { return true })
+}
+
+// ChooseForTakeUp is Choose among the hosts that read what began a stream.
+func (ne *Neighbours) ChooseForTakeUp(request, service string, count int) []Host {
+	return ne.choose(request, service, count, func(ho Host) bool { return ho.TakesOrigins })
+}
+
+func (ne *Neighbours) choose(request, service string, count int, includes func(Host) bool) []Host {
 	ne.mu.Lock()
 	defer ne.mu.Unlock()
 	now := ne.ck.Now()
@@ -61,10 +72,10 @@
 		}
 	}
 	names := make([]string, 0, len(ne.hosts))
-	for name := range ne.hosts {
+	for name, ho := range ne.hosts {
 		_, isAvoided := ne.avoidedUntil[hostService{name, service}]
 		_, isDown := ne.avoidedUntil[hostService{host: name}]
-		if !isAvoided && !isDown {
+		if !isAvoided && !isDown && includes(ho) {
 			names = append(names, name)
 		}
 	}
