gateway, origin: tests of doubts that stay and of what needs no reading

TestDoubtAtTheBeginOfAStreamStays plays a view that turns from several versions back to one while a stream breaks: the stream went on before the change of take-ups, and ends where it breaks off now.

--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,6 +99,26 @@
 	require.Positive(t, broken)
 }
 
+// Guards against a stream that may not go on, and does since its host decides anew from an older view.
+func TestDoubtAtTheBeginOfAStreamStays(t *testing.T) {
+	t.Parallel()
+	broken := 0
+	for i := range 12 {
+		var asked atomic.Int64
+		fx := newVersionFixture(func(string) (string, bool) { return "", asked.Add(1) > 1 })
+		for _, service := range []string{"engines", "others"} {
+			fx.add(t, service+"-0", service, "", brokenStream)
+			fx.add(t, service+"-1", service, "", restOfStream)
+		}
+		status, body := fx.takeUp(fmt.Sprint("a", i), "", "")
+		require.NotContains(t, body, "id: 1\ndata: one\n\nid: 2")
+		if status == 0 {
+			broken++
+		}
+	}
+	require.Positive(t, broken)
+}
+
 // Guards against refusing a stream whose version has few endpoints among many others.
 func TestTakeUpFindsTheFewEndpointsOfItsVersion(t *testing.T) {
 	t.Parallel()
--- a/internal/origin/vouch_test.go
+++ b/internal/origin/vouch_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -234,6 +235,34 @@
 
 func third(hosts int) int { return hosts / 3 }
 
+// Guards against readings of the metadata store for streams that a host remembers, or of several versions.
+func TestKnownStreamsNeedNoConfirmation(t *testing.T) {
+	t.Parallel()
+	var readings atomic.Int64
+	for _, isSole := range []bool{true, false} {
+		di := origin.New(origin.Options{
+			Sole:    func(string) (string, bool) { return "v1", isSole },
+			Confirm: func(context.Context, string) error { readings.Add(1); return nil },
+		})
+		di.Record(origin.Stream{Request: "a"}, origin.Origin{Service: "engines", Software: "v1"})
+		_, from := split(di.Find(context.Background(), origin.Stream{Request: "a"}, "engines"))
+		require.Equal(t, origin.Remembered, from)
+		require.Zero(t, readings.Load())
+	}
+}
+
+// Guards against a host without others that refuses streams while the metadata store is away.
+func TestHostWithoutOthersKeepsItsBelief(t *testing.T) {
+	t.Parallel()
+	di := origin.New(origin.Options{
+		Sole:    func(string) (string, bool) { return "v1", true },
+		Confirm: func(context.Context, string) error { return errStoreAway },
+	})
+	or, from := split(di.Find(context.Background(), origin.Stream{Request: "a"}, "engines"))
+	require.Equal(t, origin.Alone, from)
+	require.Equal(t, "v1", or.Software)
+}
+
 func names() []string { return []string{"a", "b"} }
 
 // withoutBelief returns a message with the fields that earlier versions know.
