--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -63,6 +63,8 @@
 		beginning *beginning
 		// response is the last response of an endpoint.
 		response *attempt.Response
+		// isOnlyVersion is set if the service had only one software version when that was fixed.
+		isOnlyVersion bool
 		// silent counts the endpoints that did not respond to the request, unless the client or the deadline ended the attempt.
 		silent int
 		// hasTriedNeighbours is set once neighbours have been tried, and isRelayed once one has a response of an endpoint.
--- a/internal/gateway/origin_test.go
+++ b/internal/gateway/origin_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,12 +31,15 @@
 	gw      *gateway.Gateway
 }
 
-func newVersionFixture(sole func(string) (string, bool)) *versionFixture {
+func newVersionFixture(sole func(string) (string, bool), configure ...func(*gateway.Options)) *versionFixture {
 	ck := clock.System()
 	fx := &versionFixture{fl: fleet.New(fleet.Options{Clock: ck, Host: "host"}), origins: origin.New(origin.Options{Sole: sole})}
 	opts := gatewayOptions(ck, fx.fl)
 	opts.Budget = retry.NewWindowBudget(ck, retry.Limits{Window: time.Second, Slack: 1000})
 	opts.Origins = fx.origins
+	for _, set := range configure {
+		set(&opts)
+	}
 	fx.gw = gateway.New(opts)
 	fx.gw.Configure(catalog.New(catalog.Spec{
 		Version: 1, Routes: []catalog.Route{{
@@ -95,6 +99,26 @@
 	require.Positive(t, broken)
 }
 
+// Guards against a stream that may not go on, and does since its host decides anew from an older view.
+func TestDoubtAtTheBeginOfAStreamStays(t *testing.T) {
+	t.Parallel()
+	broken := 0
+	for i := range 12 {
+		var asked atomic.Int64
+		fx := newVersionFixture(func(string) (string, bool) { return "", asked.Add(1) > 1 })
+		for _, service := range []string{"engines", "others"} {
+			fx.add(t, service+"-0", service, "", brokenStream)
+			fx.add(t, service+"-1", service, "", restOfStream)
+		}
+		status, body := fx.takeUp(fmt.Sprint("a", i), "", "")
+		require.NotContains(t, body, "id: 1\ndata: one\n\nid: 2")
+		if status == 0 {
+			broken++
+		}
+	}
+	require.Positive(t, broken)
+}
+
 // Guards against refusing a stream whose version has few endpoints among many others.
 func TestTakeUpFindsTheFewEndpointsOfItsVersion(t *testing.T) {
 	t.Parallel()
@@ -143,12 +167,12 @@
 		status, _ := fx.takeUp(first, "", "")
 		require.Equal(t, http.StatusOK, status)
 		before := [2]int64{engines.read.Load(), others.read.Load()}
-		or, from := fx.origins.Find(t.Context(), origin.Stream{Request: first}, "")
-		require.NotEqual(t, origin.Unknown, from)
+		fi := fx.origins.Find(t.Context(), origin.Stream{Request: first}, "")
+		require.NotEqual(t, origin.Unknown, fi.Source)
 		status, _ = fx.takeUp(fmt.Sprint("second-", i), first, "1")
 		require.Equal(t, http.StatusOK, status)
 		after := [2]int64{engines.read.Load(), others.read.Load()}
-		if or.Service == "engines" {
+		if fi.Origin.Service == "engines" {
 			before[0]++
 		} else {
 			before[1]++
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -86,8 +86,8 @@
 			continue
 		}
 		begun++
-		or, _ := opts.Origins.Find(t.Context(), origin.Stream{Request: id}, "engines")
-		require.Equal(t, origin.Origin{Service: "engines"}, or)
+		fi := opts.Origins.Find(t.Context(), origin.Stream{Request: id}, "engines")
+		require.Equal(t, origin.Origin{Service: "engines"}, fi.Origin)
 		status, body := fx.takeUp(id+"-again", id, "2")
 		require.Equal(t, http.StatusServiceUnavailable, status)
 		require.Equal(t, "unknown-origin\n", body)
--- a/internal/node/env_test.go
+++ b/internal/node/env_test.go
@@ -39,8 +39,6 @@
 		// bounds are the bounds of the hosts that are started.
 		bounds node.Bounds
 		lastID atomic.Int64
-		// wrapStore wraps the store's client of hosts that are started from now on; nil leaves it as it is.
-		wrapStore func(metastore.Store) metastore.Store
 	}
 
 	// response is a response as the client received it.
@@ -108,15 +106,16 @@
 
 // startHostWithDialer starts a host that reaches the endpoints through a dialer.
 func (env *testEnv) startHostWithDialer(name string, dialer attempt.Dialer) (*node.Node, context.CancelFunc) {
+	return env.startHostWithStore(name, dialer, platform.NewMetadataStore(env.store.Address(), nil))
+}
+
+// startHostWithStore starts a host with a client of the metadata store.
+func (env *testEnv) startHostWithStore(name string, dialer attempt.Dialer, store metastore.Store) (*node.Node, context.CancelFunc) {
 	meter, err := telemetry.New()
 	require.NoError(env.t, err)
 	lg := logrus.New()
 	lg.SetOutput(io.Discard)
 	engines := platform.NewEngineClient()
-	var store metastore.Store = platform.NewMetadataStore(env.store.Address(), nil)
-	if env.wrapStore != nil {
-		store = env.wrapStore(store)
-	}
 	no, err := node.New(node.Settings{
 		Name: name, Zone: "here", Listen: "127.0.0.1:0", ReadyListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0",
 		Store: env.store.Address(), Bounds: env.bounds,
--- a/internal/node/register_test.go
+++ b/internal/node/register_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/metastore"
+	"github.com/bergamotway/bergamotway/platform"
 )
 
 // refusingStore refuses the first registration of a host.
@@ -30,12 +31,8 @@
 	t.Parallel()
 	env := newTestEnv(t, 0, 0)
 	env.writeConfiguration()
-	var store *refusingStore
-	env.wrapStore = func(st metastore.Store) metastore.Store {
-		store = &refusingStore{Store: st}
-		return store
-	}
-	env.startReadyHost("host-0")
+	store := &refusingStore{Store: platform.NewMetadataStore(env.store.Address(), nil)}
+	env.startHostWithStore("host-0", nil, store)
 	env.awaitHosts(1)
 	require.True(t, store.refused.Load())
 }
--- a/internal/node/restart_test.go
+++ b/internal/node/restart_test.go
@@ -60,11 +60,6 @@
 	return out
 }
 
-// awaitRecorded waits until the hosts know which software versions are in service.
-func (env *testEnv) awaitRecorded() {
-	require.Eventually(env.t, func() bool { return env.store.Value("bergamotway/software/engines") != nil }, waitTimeout, pollInterval)
-}
-
 // beginAt makes a host begin a stream at an endpoint although it prefers others, which turn the request away once.
 func (env *testEnv) beginAt(ep *site.Endpoint, send func(id string)) (id string) {
 	for _, other := range env.engines {
@@ -101,7 +96,7 @@
 		nodes = append(nodes, env.startReadyHost(fmt.Sprint("host-", i)))
 	}
 	env.awaitHosts(hosts)
-	env.awaitRecorded()
+	env.awaitRecorded(oldSoftware)
 	if rc.isStoreSilent {
 		env.store.SetFault(site.StoreUnresponsive)
 		time.Sleep(rc.delay)
@@ -169,7 +164,7 @@
 			eps := env.startSlowEngines(oldSoftware, 4)
 			env.writeConfiguration()
 			no := env.startReadyHost("host-0")
-			env.awaitRecorded()
+			env.awaitRecorded(oldSoftware)
 			if rc.isStoreSilent {
 				env.store.SetFault(site.StoreUnresponsive)
 				time.Sleep(rc.delay)
@@ -211,7 +206,7 @@
 	env.writeConfiguration()
 	hosts := []*node.Node{env.startReadyHost("host-0"), env.startReadyHost("host-1")}
 	env.awaitHosts(len(hosts))
-	env.awaitRecorded()
+	env.awaitRecorded(oldSoftware)
 	send := func(d time.Duration) (asked, sent int) {
 		for begun := time.Now(); time.Since(begun) < d; time.Sleep(20 * time.Millisecond) {
 			for _, no := range hosts {
