--- a/internal/attempt/error.go
+++ b/internal/attempt/error.go
@@ -26,9 +26,15 @@
 	// connectionLimitError reports that this host may open no further connection to the endpoint.
 	connectionLimitError struct{ limit int }
 
+	// OtherStartError reports that another start of the endpoint answers than the target names, or another endpoint.
+	OtherStartError struct{}
+
 	// HeaderSizeError reports a response whose header exceeds the limit, in bytes.
 	HeaderSizeError struct{ limit int }
 
+	// HeaderLinesError reports a response whose header exceeds the limit, in lines.
+	HeaderLinesError struct{ limit int }
+
 	// BrokenError reports a request that may have run: bytes may have left this host, and no complete
 	// response arrived.
 	BrokenError struct {
@@ -45,11 +51,19 @@
 	return fmt.Sprintf("all %d connections that this host may open to the endpoint are in use", e.limit)
 }
 
+// Error returns the message.
+func (e *OtherStartError) Error() string { return "another start of the endpoint answers" }
+
 // Error returns a message with the limit.
 func (e *HeaderSizeError) Error() string {
 	return fmt.Sprintf("the response header exceeds %d bytes", e.limit)
 }
 
+// Error returns a message with the limit.
+func (e *HeaderLinesError) Error() string {
+	return fmt.Sprintf("the response header exceeds %d lines", e.limit)
+}
+
 // Error returns a message with the endpoint and the cause.
 func (e *NotSentError) Error() string {
 	return fmt.Sprintf("attempt: request not sent to endpoint %s at %s: %v", e.target.ID, e.target.Address, e.cause)
--- a/internal/attempt/socket.go
+++ b/internal/attempt/socket.go
@@ -7,25 +7,25 @@
 	"github.com/pkg/errors"
 )
 
-// isIdleAndOpen reports whether an idle connection is open and has no unread bytes. Unread bytes belong
-// to no request, and EOF means that the endpoint has closed the connection.
-func isIdleAndOpen(nc net.Conn) bool {
+// checkIdle reports whether an idle connection is open and has no unread bytes, which belong to no request, and whether the
+// endpoint has closed it.
+func checkIdle(nc net.Conn) (isUsable, isClosed bool) {
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, true
 	}
-	idle := false
 	err = raw.Read(func(fd uintptr) bool {
 		var buf [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		idle = errors.Is(rerr, syscall.EAGAIN)
+		n, _, rerr := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		isUsable = errors.Is(rerr, syscall.EAGAIN)
+		isClosed = !isUsable && n <= 0
 		return true
 	})
-	return err == nil && idle
+	return err == nil && isUsable, err != nil || isClosed
 }
 
 // isReset reports whether a connection of which the end has been read was reset. The kernel reports a reset to
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net"
 	"slices"
 	"strings"
@@ -129,8 +130,9 @@
 		Routes      []Route
 		Services    []Service
 		CacheStores []CacheStore
-		Teams       []Team
-		Limits      Limits
+		// Teams own the API keys; nil means that no request needs one. An empty list lets nobody in but on public routes.
+		Teams  []Team
+		Limits Limits
 	}
 
 	// Catalog is one version of the configuration, indexed for lookups. It is immutable and safe for
@@ -140,6 +142,8 @@
 		routesByHost map[string][]*Route
 		services     map[string]*Service
 		teamsByKey   map[string]*Team
+		// sharedOwner is the owner of the KV cache that teams share.
+		sharedOwner string
 	}
 )
 
@@ -176,9 +180,35 @@
 			ct.teamsByKey[key] = &spec.Teams[i]
 		}
 	}
+	ct.sharedOwner = sharedOwner(spec.Teams)
 	return ct
 }
 
+// sharedOwner returns the owner of the KV cache that teams share. It differs for each set of exclusive teams: what an exclusive team
+// has put into the KV cache while it shared must not serve the others.
+func sharedOwner(teams []Team) string {
+	var exclusive []string
+	for i := range teams {
+		if teams[i].Exclusive {
+			exclusive = append(exclusive, teams[i].Name)
+		}
+	}
+	if len(exclusive) == 0 {
+		return ""
+	}
+	slices.Sort(exclusive)
+	return fmt.Sprintf(".%016x", rendezvous.Hash(strings.Join(exclusive, "\x00")))
+}
+
+// CacheOwner returns the owner of the KV cache that requests of a team use, empty if all teams share one; nil stands for requests
+// without a team.
+func (ct *Catalog) CacheOwner(te *Team) string {
+	if te != nil && te.Exclusive {
+		return te.Name
+	}
+	return ct.sharedOwner
+}
+
 // Version returns the version of the configuration.
 func (ct *Catalog) Version() uint64 { return ct.spec.Version }
 
@@ -211,8 +241,8 @@
 	return nil, false
 }
 
-// HasTeams reports whether there are teams. Without teams no request needs an API key.
-func (ct *Catalog) HasTeams() bool { return len(ct.spec.Teams) > 0 }
+// NeedsKeys reports whether requests need an API key, unless their route is public.
+func (ct *Catalog) NeedsKeys() bool { return ct.spec.Teams != nil }
 
 // Team returns the team that owns an API key; ok is false if none does.
 func (ct *Catalog) Team(key string) (te *Team, ok bool) {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -97,7 +97,7 @@
 	}
 	cands := make([]placement.Candidate, len(views))
 	for i, vw := range views {
-		cands[i] = placement.Candidate{View: vw, Unrecorded: rq.canBeTakenUp() && !gw.opts.IsSoftwareRecorded(rq.service.Name, vw.SoftwareVersion)}
+		cands[i] = placement.Candidate{View: vw, Unrecorded: fw.isUnrecorded(vw)}
 	}
 	if job.Model != "" {
 		job.MemoryTokens, job.OutputTokens = rq.memoryTokens(), rq.MaxOutputTokens
@@ -245,11 +245,7 @@
 
 // cacheSalt returns the salt that separates the KV cache of weight versions and exclusive teams.
 func (fw *forwarder) cacheSalt(version uint64) string {
-	team := ""
-	if fw.rq.team != nil && fw.rq.team.Exclusive {
-		team = fw.rq.team.Name
-	}
-	return cachedir.Salt(fw.rq.Model, version, team)
+	return cachedir.Salt(fw.rq.Model, version, fw.ct.CacheOwner(fw.rq.team))
 }
 
 // fastestStore returns the store with the shortest estimated time to fetch a part, that estimate, and
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,16 +150,16 @@
 	no := &Node{
 		st: st, deps: deps, ck: ck, log: lg,
 		peerSeenRevisions: make(map[string]metastore.Revision),
-		pool: attempt.NewPool(attempt.Options{
-			Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened, StartCodec: deps.Starts,
-		}),
-		cache:       cachedir.New(ck),
-		cutOff:      make(chan struct{}, 1),
-		reregister:  make(chan struct{}, 1),
-		quarantine:  quarantine.NewTracker(ck),
-		neighbours:  relay.New(ck),
-		peerContact: contact.New(nil),
+		cache:             cachedir.New(ck),
+		cutOff:            make(chan struct{}, 1),
+		reregister:        make(chan struct{}, 1),
+		quarantine:        quarantine.NewTracker(ck),
+		neighbours:        relay.New(ck),
+		peerContact:       contact.New(nil),
 	}
+	no.pool = attempt.NewPool(attempt.Options{
+		Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened, StartCodec: deps.Starts, IsConfirmed: no.isStoreFollowed,
+	})
 	no.fleet = fleet.New(fleet.Options{Clock: ck, Host: st.Name, IsRegistered: no.isRegistered, OnStatementChange: no.noteStatement, OnReachChange: no.noteReach})
 	no.hostCount.Store(1)
 	no.currentSettings.Store(&st)
@@ -181,7 +181,7 @@
 	no.origins = no.newOriginDirectory()
 	no.leaderLease = leadership.New(leadership.Options{
 		Store: deps.Store, Clock: ck, SinceBoot: clock.SinceBoot, Key: keyUpgradeLeader, Holder: st.Name,
-		TTL: time.Duration(st.Bounds.LeaseMs) * time.Millisecond, OnChange: no.logLeadership,
+		TTL: milliseconds(st.Bounds.LeaseMs), OnChange: no.logLeadership,
 		// A host that does not know the state yet leaves the lease to the others.
 		AcquireDelay: no.leaderDelay, IsHeld: func() bool { return !no.fleet.IsSynced() || no.storeState.hasLeader.Load() },
 	})
