gateway: a response without a body keeps the length that it announces

Clients that sent HEAD got a Content-Length of 0, and a 304 got one that its endpoint had not sent.

The host set the length of what it had read, which for these is not the length of the body that they tell of.

Before, "HEAD" and "HEAD without a length" of TestResponseWithoutBodyKeepsItsLength failed.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -87,7 +87,12 @@
 	if isLong {
 		return fw.relayLongResponse(ctx, rs, head, pl, outcome)
 	}
-	hd.Set("Content-Length", strconv.Itoa(len(head)))
+	switch {
+	case rq.Method == http.MethodHead && rs.BodyLength() >= 0:
+		hd.Set("Content-Length", strconv.FormatInt(rs.BodyLength(), 10))
+	case rq.Method != http.MethodHead && rs.Status != http.StatusNotModified:
+		hd.Set("Content-Length", strconv.Itoa(len(head)))
+	}
 	fw.w.WriteHeader(rs.Status)
 	if rq.Method != http.MethodHead {
 		if _, err := fw.w.Write(head); err != nil {
