attempt, gateway, node: responses in flight share their memory

Each response was bounded, their sum was not: 500 responses with a long header and an event that does not end, all within their limits, took a host with 128 MiB to 145 MiB of resident memory, at which it is killed with the requests of all clients.

The headers, events and beginnings of bodies of all responses in flight now share 15 % of a host's memory; the first 4 KiB of each are free, and the last quarter is kept for responses of at most 16 KiB. What does not fit is broken off as an oversized response is, at once; the endpoint counts as failed. This holds for requests that pass through a neighbour too.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -45,6 +45,8 @@
 		Clock clock.Clock
 		// Dialer opens the connections; nil means TCP connections that end when sent bytes stay unacknowledged for 900 ms.
 		Dialer Dialer
+		// Memory bounds what the responses in flight hold together; nil means no bound.
+		Memory *Memory
 		// OnOpen, if not nil, is called for each new connection.
 		OnOpen func()
 	}
@@ -176,6 +178,7 @@
 // responses before it, exceeds 64 KiB or 512 lines.
 func (rs *Response) Next() error {
 	rs.Interim = nil
+	rs.conn.source.holding.release()
 	rs.conn.source.limit(maxHeaderBytes)
 	defer rs.conn.source.unlimit()
 	for {
@@ -225,6 +228,7 @@
 // neither side asks to close it. Further calls do nothing.
 func (rs *Response) Close() {
 	rs.closeOnce.Do(func() {
+		rs.conn.source.holding.release()
 		notCancelled := rs.stopCancel()
 		reusable := notCancelled && rs.bodyRead && rs.rsp != nil && !rs.rsp.Close && rs.conn.reader.Buffered() == 0 && rs.hasDelimitedBody()
 		if rs.writeDone != nil {
@@ -330,7 +334,7 @@
 	if po.opts.OnOpen != nil {
 		po.opts.OnOpen()
 	}
-	source := &headerLimitReader{reader: raw}
+	source := &headerLimitReader{reader: raw, holding: holding{memory: po.opts.Memory}}
 	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
--- a/internal/attempt/header_limit.go
+++ b/internal/attempt/header_limit.go
@@ -18,10 +18,12 @@
 	// inHeader reports that the header has not ended, and lineEmpty that its last line has no bytes yet.
 	inHeader  bool
 	lineEmpty bool
+	// holding is what the response in flight holds.
+	holding holding
 }
 
 // Read reads at most the remaining bytes. It fails with a *HeaderSizeError if none remain, and with a *HeaderLinesError if
-// they hold too many lines of a header.
+// they hold too many lines of a header, and with a *MemoryError if the header does not fit into the memory of all responses.
 func (hl *headerLimitReader) Read(p []byte) (int, error) {
 	if !hl.limited {
 		return hl.reader.Read(p)
@@ -34,6 +36,10 @@
 	if lerr := hl.countLines(p[:n]); lerr != nil {
 		return 0, lerr
 	}
+	hl.holding.header += int64(n)
+	if merr := hl.holding.update(); merr != nil {
+		return 0, merr
+	}
 	return n, err
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -59,7 +59,7 @@
 		step, _, err := fw.retryOrGiveUp(&StatusError{status: rs.Status})
 		return step, fleet.Neutral, err
 	}
-	head, err := io.ReadAll(io.LimitReader(rs, maxBufferedResponseBytes))
+	head, err := readHead(rs, rs.Hold)
 	success := rs.Status >= 200 && rs.Status < 300
 	if err == nil && ((success && !me.Sealed) || me.ContentEncoded) {
 		err = forwardError("the response is not sealed by the endpoint or has been re-encoded")
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -44,7 +44,7 @@
 	begun, continues := false, fw.headerWritten
 	var idle idleEvents
 	for {
-		event, err := readEvent(br)
+		event, err := readEvent(br, rs.Hold)
 		switch {
 		case errors.Is(err, io.EOF) && len(event) == 0 && !begun && fw.hasEndpointStopped(ctx, pl):
 			return fw.retryOrGiveUp(rs.BrokenError(errNoEvent))
@@ -151,13 +151,18 @@
 }
 
 // readEvent reads an event up to and including the empty line that ends it. It returns io.EOF without
-// data at the end of the stream, and errEventEnd if the stream ends within an event.
-func readEvent(br *bufio.Reader) ([]byte, error) {
+// data at the end of the stream, and errEventEnd if the stream ends within an event. Hold is told how many bytes it holds.
+func readEvent(br *bufio.Reader, hold func(n int) error) ([]byte, error) {
 	var event []byte
 	lineStart := 0
+	// Giving bytes back does not fail.
+	_ = hold(0)
 	for {
 		chunk, err := br.ReadSlice('\n')
 		event = append(event, chunk...)
+		if herr := hold(cap(event)); herr != nil {
+			return nil, herr
+		}
 		switch {
 		case len(event) > maxEventBytes:
 			return nil, errEventSize
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,7 +55,10 @@
 	// bodyMemoryShare is the share of Settings.MemoryMiB that request bodies may take. A body is held
 	// a second time while it is forwarded.
 	bodyMemoryShare = 0.2
-	mebibyte        = 1 << 20
+	// responseMemoryShare is the share of Settings.MemoryMiB that the headers, events and beginnings of bodies of responses in
+	// flight may take together.
+	responseMemoryShare = 0.15
+	mebibyte            = 1 << 20
 	// peerLoadingTTL is how long a peer's report that an engine is loading weights is valid.
 	peerLoadingTTL = 600 * time.Millisecond
 	// connectionSweepInterval is the pause between two sweeps of connections to endpoints.
@@ -145,10 +148,11 @@
 // New returns a host that listens on its addresses. Run starts it.
 func New(st Settings, deps Dependencies, lg *logrus.Logger) (*Node, error) {
 	ck := clock.System()
+	memory := attempt.NewMemory(int64(float64(st.MemoryMiB) * mebibyte * responseMemoryShare))
 	no := &Node{
 		st: st, deps: deps, ck: ck, log: lg,
 		peerSeenRevisions: make(map[string]metastore.Revision),
-		pool:              attempt.NewPool(attempt.Options{Clock: ck, Dialer: deps.Dialer, OnOpen: deps.Meter.ConnectionOpened}),
+		pool:              attempt.NewPool(attempt.Options{Clock: ck, Dialer: deps.Dialer, Memory: memory, OnOpen: deps.Meter.ConnectionOpened}),
 		cache:             cachedir.New(ck),
 		cutOff:            make(chan struct{}, 1),
 		reregister:        make(chan struct{}, 1),
@@ -195,7 +199,7 @@
 	no.storeState.setTargetVersion, no.storeState.onLeaderGone = no.upgrades.SetTarget, no.leaderLease.NotifyVacant
 	no.gateway = gateway.New(gateway.Options{
 		Clock: ck, Codec: deps.Codec, Fleet: no.fleet, Pool: no.pool, Cache: no.cache, Budget: no.retryBudget, Quarantine: no.quarantine, Parts: no.parts,
-		Neighbours: no.neighbours, RelayPool: attempt.NewPool(attempt.Options{Clock: ck}),
+		Neighbours: no.neighbours, RelayPool: attempt.NewPool(attempt.Options{Clock: ck, Memory: memory}),
 		BodyMemoryBytes: int64(float64(st.MemoryMiB) * mebibyte * bodyMemoryShare),
 		Log:             lg.WithField("part", "gateway"), Meter: deps.Meter, Zone: st.Zone, Policy: placement.ParsePolicy(st.Placement),
 		HostCount:     func() int { return int(no.hostCount.Load()) },
