gateway: take a neighbour's infinite Retry-After as a long one

A Retry-After beyond the range of a duration was converted before it was bounded, which gives a negative one on x86-64. The smaller number is now converted. Found by reading; arm64, on which this was written, bounds it by itself, so no test fails here.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -192,7 +192,9 @@
 	seconds, err := strconv.ParseFloat(fw.refusal.retryAfter, 64)
 	retryAfter := transientRetryAfter
 	if err == nil && seconds >= 0 {
-		retryAfter = min(time.Duration(seconds*float64(time.Second)), fw.rq.deadline.Sub(fw.gw.opts.Clock.Now())/3)
+		left := fw.rq.deadline.Sub(fw.gw.opts.Clock.Now())
+		// The smaller number is converted, since a duration can't hold all others.
+		retryAfter = time.Duration(min(seconds, left.Seconds()/3) * float64(time.Second))
 	}
 	fw.gw.refuse(fw.w, fw.rq, http.StatusServiceUnavailable, "neighbour-refused", retryAfter, fw.refusal.cause)
 }
