peering: bound what is kept of unknown senders

A host kept the sequence number of each name that a datagram bears, for good, and its report, which a host without tiers never drops: digests of ever new names, up to 60 KB each, took memory without bound.

--- a/internal/peering/peering.go
+++ b/internal/peering/peering.go
@@ -360,18 +360,3 @@
 		ex.adjustInterval(sentBytes)
 	}
 }
-
-// recordSequence records the sequence number of a digest if the digest is newer than the previous ones of
-// the same host, and reports whether it is. A number that is lower by restartGap or more means that the
-// host has restarted.
-func (ex *Exchange) recordSequence(dg Digest) bool {
-	const restartGap = 1000
-	ex.mu.Lock()
-	defer ex.mu.Unlock()
-	lastSequence := ex.lastSequence[dg.Host]
-	if dg.Sequence <= lastSequence && lastSequence-dg.Sequence < restartGap {
-		return false
-	}
-	ex.lastSequence[dg.Host] = dg.Sequence
-	return true
-}
--- a/internal/peering/tier.go
+++ b/internal/peering/tier.go
@@ -280,10 +280,10 @@
 	now := ex.ck.Now()
 	switch dg.Tier {
 	case TierReport:
-		ex.reports[dg.Host] = receivedDigest{digest: dg, from: from, receivedAt: now}
+		ex.keep(ex.reports, dg.Host, receivedDigest{digest: dg, from: from, receivedAt: now})
 		return Digest{}, false
 	case TierZone:
-		ex.zoneDigests[dg.Zone] = receivedDigest{digest: dg, receivedAt: now}
+		ex.keep(ex.zoneDigests, dg.Zone, receivedDigest{digest: dg, receivedAt: now})
 		return Digest{}, false
 	case TierTotal:
 		rank, zoneHosts := ex.zone.rank, ex.zone.hosts
