--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -39,6 +39,8 @@
 		Clock clock.Clock
 		// Dialer opens the connections; nil means TCP connections that end when sent bytes stay unacknowledged for 900 ms.
 		Dialer Dialer
+		// Memory bounds what the responses in flight hold together; nil means no bound.
+		Memory *Memory
 		// OnOpen, if not nil, is called for each new connection.
 		OnOpen func()
 		// StartCodec translates the question which start of an endpoint answers; nil means that it can't be asked.
@@ -185,6 +187,7 @@
 // responses before it, exceeds 64 KiB or 512 lines.
 func (rs *Response) Next() error {
 	rs.Interim = nil
+	rs.conn.source.holding.release()
 	rs.conn.source.limit(maxHeaderBytes)
 	defer rs.conn.source.unlimit()
 	for {
@@ -241,6 +244,7 @@
 // neither side asks to close it. Further calls do nothing.
 func (rs *Response) Close() {
 	rs.closeOnce.Do(func() {
+		rs.conn.source.holding.release()
 		notCancelled := rs.stopCancel()
 		reusable := notCancelled && rs.isReusable()
 		if rs.writeDone != nil {
@@ -356,7 +360,7 @@
 	if po.opts.OnOpen != nil {
 		po.opts.OnOpen()
 	}
-	cn := newConn(raw)
+	cn := newConn(raw, po.opts.Memory)
 	cn.establishedAt = po.opts.Clock.Now()
 	po.open.add(target, cn)
 	isConfirmed := po.isConfirmed()
--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -34,8 +34,8 @@
 	onClose       func()
 }
 
-func newConn(raw net.Conn) *conn {
-	source := &headerLimitReader{reader: raw}
+func newConn(raw net.Conn, memory *Memory) *conn {
+	source := &headerLimitReader{reader: raw, holding: holding{memory: memory}}
 	return &conn{Conn: raw, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}
 }
 
--- a/internal/attempt/start.go
+++ b/internal/attempt/start.go
@@ -15,7 +15,7 @@
 	// startCheckTimeout bounds the check which start of an endpoint answers.
 	startCheckTimeout = 300 * time.Millisecond
 	// maxStartAnswerBytes bounds the body of the answer.
-	maxStartAnswerBytes = 256 << 10
+	maxStartAnswerBytes = 64 << 10
 	// maxStartCheckTries bounds the connections of a check. One that is accepted and then breaks may have been waiting at a start
 	// that ended.
 	maxStartCheckTries = 2
@@ -126,7 +126,7 @@
 			// A connection to a listener that ends meanwhile may be reset.
 			continue
 		}
-		cn := newConn(raw)
+		cn := newConn(raw, po.opts.Memory)
 		var state StartState
 		state, _, err = po.askStart(ctx, cn, target)
 		closeConn(cn)
@@ -142,6 +142,7 @@
 func (po *Pool) askStart(ctx context.Context, cn *conn, target Target) (state StartState, canBeUsed bool, err error) {
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	defer cn.source.holding.release()
 	if _, err := cn.Write(po.opts.StartCodec.EncodeStartRequest(target)); err != nil {
 		return StartUnknown, false, err
 	}
