attempt, gateway: ask at the first event if a doubt came right after the connection

A host that opens a connection right after an endpoint started again in place, before it has noticed that its other connections there have broken, took the new start for the known one.

Response.ConfirmStart asks the endpoint before the first event is forwarded if a doubt arose within 500 ms after the connection was opened and nothing has answered since. Without such a doubt nothing is asked, and the check is shared among those that wait.

TestConnectionOpenedRightBeforeADoubtIsAsked failed before.

--- a/internal/attempt/attempt.go
+++ b/internal/attempt/attempt.go
@@ -318,7 +318,7 @@
 				return cn, nil
 			}
 			if isClosed {
-				tc.trust.doubtedAt = po.tick()
+				tc.trust.doubt(po.tick(), now)
 			}
 		}
 		closeConn(cn)
@@ -347,8 +347,8 @@
 	isConfirmed := po.isConfirmed()
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	cn.openedAt = po.tick()
-	cn.isTrusted = !po.canAsk(target) || tc.trust.holds(isConfirmed, po.opts.Clock.Now())
+	cn.openedAt, cn.openedTime = po.tick(), po.opts.Clock.Now()
+	cn.isTrusted = !po.canAsk(target) || tc.trust.holds(isConfirmed, cn.openedTime)
 	return cn, nil
 }
 
--- a/internal/attempt/conn.go
+++ b/internal/attempt/conn.go
@@ -28,9 +28,10 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 	requests    int
-	// openedAt is the moment at which the connection was open. isTrusted is set if its start was trusted then, and isVerified if
+	// openedAt and openedTime are the moment and the time at which the connection was open. isTrusted is set if its start was trusted then, and isVerified if
 	// the start has answered on it.
 	openedAt              moment
+	openedTime            time.Time
 	isTrusted, isVerified bool
 }
 
--- a/internal/attempt/trust.go
+++ b/internal/attempt/trust.go
@@ -9,6 +9,8 @@
 	// aliveTime is how long a start that has answered is trusted while the host does not learn of new ones. A break of a
 	// connection ends it at once.
 	aliveTime = 2 * time.Second
+	// noticeTime is how long after the end of a start the host may take to notice that a connection to it broke.
+	noticeTime = 500 * time.Millisecond
 	// maxVerifications bounds the connections on which a start is verified for one request.
 	maxVerifications = 3
 )
@@ -23,7 +25,9 @@
 	// trust is whether connections that are opened to a target reach the start that it names. The zero value trusts it.
 	trust struct {
 		// doubtedAt is the last moment at which something showed that the start may have ended; zero if it has answered since.
-		doubtedAt moment
+		// firstDoubtAt and firstDoubt are the moment and the time of the first such since it answered.
+		doubtedAt, firstDoubtAt moment
+		firstDoubt              time.Time
 		// askedAt is the moment at which the last question that it answered began, and aliveAt its time.
 		askedAt moment
 		aliveAt time.Time
@@ -39,13 +43,45 @@
 	VerifiedStart
 )
 
+// doubt notes that the start may have ended.
+func (tr *trust) doubt(at moment, now time.Time) {
+	if tr.doubtedAt == 0 {
+		tr.firstDoubtAt, tr.firstDoubt = at, now
+	}
+	tr.doubtedAt = at
+}
+
 // holds reports whether a connection that is opened now reaches the start.
 func (tr trust) holds(isConfirmed bool, now time.Time) bool {
 	return tr.doubtedAt == 0 && (isConfirmed || (tr.askedAt > 0 && now.Sub(tr.aliveAt) < aliveTime))
 }
 
 // IsStartKnown reports whether the response comes from the start that the target names, as far as the host can know.
-func (rs *Response) IsStartKnown() bool { return rs.conn.isTrusted || rs.IsStartVerified() }
+func (rs *Response) IsStartKnown() bool {
+	return (rs.conn.isTrusted && !rs.isOpenedBeforeDoubt()) || rs.IsStartVerified()
+}
+
+// ConfirmStart is IsStartKnown, but asks the endpoint if something showed right after the connection was opened that the start may
+// have ended before. It takes as long as two checks at most.
+func (rs *Response) ConfirmStart() bool {
+	if !rs.IsStartKnown() && rs.conn.isTrusted {
+		// The answer is noted for the connections to the target.
+		_, _ = rs.pool.CheckStart(context.Background(), rs.target)
+	}
+	return rs.IsStartKnown()
+}
+
+// isOpenedBeforeDoubt reports whether the start may have ended before the connection was opened, although that was noticed later.
+func (rs *Response) isOpenedBeforeDoubt() bool {
+	rs.pool.mu.Lock()
+	defer rs.pool.mu.Unlock()
+	tc := rs.pool.targets[rs.target]
+	if tc == nil || !rs.pool.canAsk(rs.target) || rs.conn.isVerified {
+		return false
+	}
+	tr := &tc.trust
+	return tr.doubtedAt > 0 && tr.firstDoubtAt > rs.conn.openedAt && tr.firstDoubt.Sub(rs.conn.openedTime) < noticeTime
+}
 
 // IsStartVerified reports whether that start has answered since the connection was opened.
 func (rs *Response) IsStartVerified() bool {
@@ -72,7 +108,7 @@
 func (po *Pool) doubt(target Target) {
 	po.mu.Lock()
 	defer po.mu.Unlock()
-	po.conns(target).trust.doubtedAt = po.tick()
+	po.conns(target).trust.doubt(po.tick(), po.opts.Clock.Now())
 }
 
 // beginQuestion returns the moment and the time at which a question begins.
--- a/internal/attempt/trust_test.go
+++ b/internal/attempt/trust_test.go
@@ -26,7 +26,7 @@
 }
 
 func newTrustFixture(t *testing.T) *trustFixture {
-	ep, err := site.NewEndpoint(site.EndpointOptions{ID: "engine", Model: site.Model})
+	ep, err := site.NewEndpoint(site.EndpointOptions{ID: "engine", Model: site.Model, EventCount: 3, EventInterval: time.Millisecond})
 	require.NoError(t, err)
 	t.Cleanup(ep.Close)
 	fx := &trustFixture{t: t, ep: ep, clock: clockwork.NewFakeClockAt(time.Unix(1, 0))}
@@ -165,3 +165,45 @@
 	require.True(t, rs.IsStartKnown())
 	rs.Close()
 }
+
+// Guards against a connection to another start that is opened before the host has noticed that those to the known one have broken.
+func TestConnectionOpenedRightBeforeADoubtIsAsked(t *testing.T) {
+	t.Parallel()
+	for name, isRestarted := range map[string]bool{"restarted": true, "alive": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fx := newTrustFixture(t)
+			fx.ep.InjectFaults(site.TruncateResponse)
+			earlier, err := fx.begin(attempt.KnownStart)
+			require.NoError(t, err)
+			if isRestarted {
+				fx.restart()
+			}
+			later, err := fx.begin(attempt.KnownStart)
+			require.NoError(t, err)
+			defer later.Close()
+			require.True(t, later.ConfirmStart())
+			require.Zero(t, fx.ep.ReportCount())
+			_, err = io.ReadAll(earlier)
+			require.Error(t, err)
+			earlier.Close()
+			require.Equal(t, !isRestarted, later.ConfirmStart())
+			require.Equal(t, 1, fx.ep.ReportCount())
+		})
+	}
+}
+
+// Guards against asking about a connection that has been open for long when another one breaks.
+func TestOldConnectionIsNotInDoubt(t *testing.T) {
+	t.Parallel()
+	fx := newTrustFixture(t)
+	fx.ep.InjectFaults(site.NoEndpointFault, site.ResetConnection)
+	old, err := fx.begin(attempt.KnownStart)
+	require.NoError(t, err)
+	defer old.Close()
+	fx.clock.Advance(2 * time.Second)
+	_, err = fx.begin(attempt.KnownStart)
+	require.Error(t, err)
+	require.True(t, old.ConfirmStart())
+	require.Zero(t, fx.ep.ReportCount())
+}
--- a/internal/gateway/origin.go
+++ b/internal/gateway/origin.go
@@ -42,7 +42,7 @@
 	if fw.begun == nil {
 		fw.begun = &origin.Origin{Service: rq.service.Name}
 		// An endpoint that has been restarted in the meantime may have another version than the one that was known.
-		if fw.response.IsStartKnown() && fi.IsAt(pl.view.StartTimeMs, pl.view.SoftwareVersion) {
+		if fw.response.ConfirmStart() && fi.IsAt(pl.view.StartTimeMs, pl.view.SoftwareVersion) {
 			fw.begun.Software = pl.view.SoftwareVersion
 		}
 		fw.beginning = &beginning{response: fw.response, inFlight: fi}
