gateway: begin a stream at another start rather than refuse it as overloaded

Endpoints of which another start answers come last for streams that can be taken up. Where the others were full, such a stream was refused as overloaded although the endpoint was idle: with the metadata store silent and a part of the endpoints restarted, that part was lost for new streams. Found by reading.

If the choice would be late, these endpoints count like the others. The origin of such a stream stays unknown.

TestStreamBeginsAtAnotherStartRatherThanLate fails without it.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -169,7 +169,7 @@
 		fw.refuseUnplaced(remaining, lastErr)
 		return stepDone, nil
 	}
-	if !fw.headerWritten && rq.Model != "" && placement.IsOverdue(pl.expectedTTFT, fw.targetLeft(), remaining) {
+	if fw.isOverdue(pl.expectedTTFT, remaining) {
 		fw.refuseOverdue(pl, remaining, lastErr)
 		return stepDone, nil
 	}
@@ -180,6 +180,11 @@
 	return fw.tryEndpoint(ctx, clientCtx, pl)
 }
 
+// isOverdue reports whether a request with the given expected time to first token must be refused instead of sent.
+func (fw *forwarder) isOverdue(wait, remaining time.Duration) bool {
+	return !fw.headerWritten && fw.rq.Model != "" && placement.IsOverdue(wait, fw.targetLeft(), remaining)
+}
+
 // outlastsHost reports whether the host is expected to stop before the response of a request that may not be repeated ends.
 func (fw *forwarder) outlastsHost(pl plan) bool {
 	stopAt := fw.gw.stopAt.Load()
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -108,6 +108,9 @@
 		fw.estimatePrefillAndFetch(cands)
 	}
 	ch, ok := gw.opts.Policy.Choose(job, rq.conversationID(), cands)
+	if ok && fw.isOverdue(ch.FirstTokenEstimate, remaining) && admitOtherStarts(cands) {
+		ch, ok = gw.opts.Policy.Choose(job, rq.conversationID(), cands)
+	}
 	if !ok {
 		return plan{}, false
 	}
--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -8,6 +8,7 @@
 	"github.com/bergamotway/bergamotway/internal/attempt"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/origin"
+	"github.com/bergamotway/bergamotway/internal/placement"
 )
 
 // beginning is the attempt that began a stream.
@@ -35,6 +36,17 @@
 	return fw.rq.canBeTakenUp() && (vw.OtherStart || !fw.gw.opts.IsSoftwareRecorded(fw.rq.service.Name, vw.SoftwareVersion))
 }
 
+// admitOtherStarts makes candidates of which another start answers equal to the others. It reports whether there are any.
+func admitOtherStarts(cands []placement.Candidate) bool {
+	found := false
+	for i := range cands {
+		if cands[i].OtherStart {
+			cands[i].Unrecorded, found = false, true
+		}
+	}
+	return found
+}
+
 // noteOtherStart notes that another start of an endpoint answers than the known one. A stream may still begin there, as the last
 // choice.
 func (fw *forwarder) noteOtherStart(pl plan) {
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/bergamotway/bergamotway/internal/attempt"
+	"github.com/bergamotway/bergamotway/internal/catalog"
 	"github.com/bergamotway/bergamotway/internal/clock"
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/gateway"
@@ -97,3 +99,43 @@
 	require.False(t, fx.fl.HasOtherStart("others"))
 	require.Equal(t, 1, ep.ReportCount())
 }
+
+// Guards against refusing streams as overloaded while an endpoint of which another start answers is idle.
+func TestStreamBeginsAtAnotherStartRatherThanLate(t *testing.T) {
+	t.Parallel()
+	ck := clock.System()
+	fx := newVersionFixture(severalVersions)
+	fx.gw = gateway.New(gatewayOptions(ck, fx.fl))
+	fx.gw.Configure(catalog.New(catalog.Spec{
+		Version: 1, Routes: []catalog.Route{{
+			Name: "query", Kind: catalog.Streaming, Resumable: true, Host: "shop.example", Prefix: "/", MaxAttempts: 1,
+			TargetLatency: time.Second, Timeout: 4 * time.Second, Services: []catalog.WeightedService{{Service: "engines"}},
+		}},
+		Services: []catalog.Service{{Name: "engines", Engine: &catalog.Engine{Slots: 8, CapacityTokens: 90000, Models: []string{site.Model}}}},
+	}))
+	var eps []*site.Endpoint
+	for _, id := range []string{"known", "restarted"} {
+		ep, en := fx.addSite(t, id, "v1")
+		en.Models = map[string]uint64{site.Model: 1}
+		fx.fl.Put(en)
+		eps = append(eps, ep)
+	}
+	require.True(t, fx.fl.MarkOtherStart("restarted", 1000))
+	send := func(id string) int {
+		hr := httptest.NewRequest(http.MethodPost, "/", nil)
+		hr.Host = "shop.example"
+		for name, value := range map[string]string{"X-Request-Id": id, "X-Model": site.Model, "X-Token-Usage": "900,20"} {
+			hr.Header.Set(name, value)
+		}
+		rr := httptest.NewRecorder()
+		fx.gw.ServeHTTP(rr, hr)
+		return rr.Code
+	}
+	require.Equal(t, http.StatusOK, send("calm"))
+	require.Len(t, eps[0].RecordedRequests(), 1)
+	require.NotNil(t, fx.fl.Begin("known", fleet.Load{Requests: 30, Tokens: 200_000, PrefillTokens: 400_000}, 0))
+	require.Equal(t, http.StatusOK, send("busy"))
+	require.Len(t, eps[1].RecordedRequests(), 1)
+	require.NotNil(t, fx.fl.Begin("restarted", fleet.Load{Requests: 30, Tokens: 200_000, PrefillTokens: 400_000}, 0))
+	require.Equal(t, http.StatusServiceUnavailable, send("full"))
+}
