load/soak: engines as processes, releases meanwhile, and take-ups in chains

Hosts stand still, are cut off from the store, from each other or from both. Clients break streams off and take them up in chains. Each stream is judged for each face of ORDER over all its tries.

--- a/programs/load/soak/checker.go
+++ b/programs/load/soak/checker.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bergamotway/bergamotway/internal/standin/site"
+	"github.com/bergamotway/bergamotway/programs/load/order"
 )
 
 const (
@@ -34,6 +35,9 @@
 		results      map[string]result
 		statusCounts map[string]int
 		findings     []string
+		// streams are those that clients received from workers.
+		streams []order.Stream
+		tally   tally
 	}
 
 	// result is the response to one request, as the client received it.
@@ -68,9 +72,16 @@
 	tr := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}
 	defer tr.CloseIdleConnections()
 	routes := []string{"pay", "look", "note", "query"}
+	if ch.testbed.opts.hasWorkers() {
+		routes = workerRoutes
+	}
 	for ctx.Err() == nil {
 		ho := ch.testbed.hosts[rd.Intn(len(ch.testbed.hosts))]
 		route := routes[rd.Intn(len(routes))]
+		if ch.testbed.opts.hasWorkers() && (route == "query" || route == "note") {
+			ch.receiveStream(tr, rd, ho, route)
+			continue
+		}
 		id, re := ch.send(tr, ho, route, rd.Intn(20) == 0)
 		if route == "query" && !re.complete {
 			ch.takeUp(tr, rd, id, re.body)
@@ -100,7 +111,7 @@
 	if route == "note" || route == "query" {
 		rq.Model = site.Model
 	}
-	rp := site.Send(ctx, tr, ho.listenAddress, rq)
+	rp := site.Send(ctx, tr, ho.clientAddress(), rq)
 	re = result{route: route, status: rp.Status, body: rp.Body, sealed: rp.Sealed(), complete: rp.Complete}
 	ch.mu.Lock()
 	ch.results[id] = re
@@ -129,7 +140,7 @@
 		id := ch.nextID()
 		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 		ho := ch.testbed.hosts[rd.Intn(len(ch.testbed.hosts))]
-		rp := site.Send(ctx, tr, ho.listenAddress, site.Request{
+		rp := site.Send(ctx, tr, ho.clientAddress(), site.Request{
 			ID: id, Method: http.MethodPost, URI: "/query/1", Body: bytes.Repeat([]byte("b"), 3000), Timeout: routeTimeout, Model: site.Model,
 			Header: map[string]string{"Last-Event-Id": fmt.Sprint(events), "Resumes": firstID},
 		})
@@ -180,6 +191,9 @@
 		}
 		return
 	}
+	if ch.testbed.opts.hasWorkers() {
+		return
+	}
 	isWhole, isPrefix := re.body == "body of "+id, strings.HasPrefix("body of "+id, re.body)
 	for _, software := range softwareVersions {
 		var want strings.Builder
@@ -231,6 +245,19 @@
 			}
 		}
 	}
+	for _, st := range ch.testbed.allStarts() {
+		st.mu.Lock()
+		for _, rr := range st.requests {
+			// A worker that ended in the middle of a run does not count against the attempts of a stream that may be resumed.
+			if !st.killed || st.ended[rr.ID] || !strings.HasPrefix(rr.URI, "/query/") {
+				runs[rr.ID] = append(runs[rr.ID], rr)
+			}
+			if team, key := rr.TeamAndKey(); team != site.Team || key != "" {
+				ch.addFinding("%s (%s) ran for team %q with key %q", rr.ID, rr.URI, team, key)
+			}
+		}
+		st.mu.Unlock()
+	}
 	for id, executions := range runs {
 		re, ok := ch.results[id]
 		switch {
@@ -250,9 +277,19 @@
 // checkOrders checks that only one host at a time orders engines to load weights: fencing tokens never decrease on
 // an engine, two hosts never share one, and another host waits for the lease of the previous one to expire.
 func (ch *checker) checkOrders() {
-	var orders []site.WeightOrder
+	var (
+		orders []site.WeightOrder
+		lists  [][]site.WeightOrder
+	)
 	for _, ep := range ch.testbed.engines {
-		list := ep.Orders()
+		lists = append(lists, ep.Orders())
+	}
+	for _, st := range ch.testbed.allStarts() {
+		st.mu.Lock()
+		lists = append(lists, st.orders)
+		st.mu.Unlock()
+	}
+	for _, list := range lists {
 		for i := 1; i < len(list); i++ {
 			if list[i].Fence < list[i-1].Fence {
 				ch.addFinding("an engine took an order with fence %d after one with %d", list[i].Fence, list[i-1].Fence)
--- a/programs/load/soak/process.go
+++ b/programs/load/soak/process.go
@@ -1,10 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,17 +18,23 @@
 
 // process is a host that runs as a process and is restarted whenever it exits.
 type process struct {
-	testbed        *testbed
-	name           string
-	listenAddress  string
-	readyAddress   string
-	settingsPath   string
-	storeProxy     *proxy
+	testbed       *testbed
+	name          string
+	listenAddress string
+	readyAddress  string
+	settingsPath  string
+	storeProxy    *proxy
+	// frontProxy is in the way of clients, if it is not nil.
+	frontProxy     *proxy
 	stopRestarting func()
 	logFile        *os.File
 
-	mu  sync.Mutex
-	cmd *exec.Cmd
+	// neighbor is in the way of other hosts, if it is not nil.
+	neighbor *neighbor
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	program string
 }
 
 // processLoopbackIP returns a loopback address derived from the process ID, so that concurrent soak runs use
@@ -43,18 +49,15 @@
 func (ho *process) prepare(dir string) error {
 	addresses := make([]string, 3)
 	for i := range addresses {
-		// The kernel may assign a port again once it is released, also to another host of this testbed.
-		for addresses[i] == "" || ho.testbed.usedAddresses[addresses[i]] {
-			ln, err := net.Listen("tcp", net.JoinHostPort(processLoopbackIP(), "0"))
-			if err != nil {
-				return errors.Wrap(err, "soak: address")
-			}
-			addresses[i] = ln.Addr().String()
-			_ = ln.Close()
+		var err error
+		if addresses[i], err = ho.testbed.freeAddress(); err != nil {
+			return err
 		}
-		ho.testbed.usedAddresses[addresses[i]] = true
 	}
 	ho.listenAddress, ho.readyAddress = addresses[0], addresses[1]
+	if err := ho.addProxies(addresses[2]); err != nil {
+		return err
+	}
 	data, err := json.Marshal(map[string]any{
 		"host": ho.name, "availability-zone": "here", "listen": ho.listenAddress, "ready-listen": ho.readyAddress, "peer-listen": addresses[2],
 		"metadata-store": ho.storeProxy.address(),
@@ -66,8 +69,8 @@
 		return errors.Wrap(err, "soak: settings")
 	}
 	ho.settingsPath = filepath.Join(dir, ho.name+".json")
-	if ho.testbed.opts.logDir != "" {
-		name := filepath.Join(ho.testbed.opts.logDir, fmt.Sprintf("seed-%d-%s.log", ho.testbed.opts.seed, ho.name))
+	if ho.testbed.opts.LogDir != "" {
+		name := filepath.Join(ho.testbed.opts.LogDir, fmt.Sprintf("seed-%d-%s.log", ho.testbed.opts.Seed, ho.name))
 		if ho.logFile, err = os.Create(name); err != nil {
 			return errors.Wrap(err, "soak: log")
 		}
@@ -75,6 +78,57 @@
 	return errors.Wrap(os.WriteFile(ho.settingsPath, data, 0o600), "soak: settings")
 }
 
+// addProxies puts proxies in the way of clients and of other hosts.
+func (ho *process) addProxies(peerAddress string) error {
+	if !ho.testbed.opts.hasWorkers() {
+		return nil
+	}
+	var err error
+	if ho.frontProxy, err = newProxy(ho.listenAddress); err != nil {
+		return err
+	}
+	return ho.testbed.neighbors.add(ho, peerAddress)
+}
+
+// clientAddress returns the address to which clients connect.
+func (ho *process) clientAddress() string {
+	if ho.frontProxy != nil {
+		return ho.frontProxy.address()
+	}
+	return ho.listenAddress
+}
+
+// currentProgram returns the program that the next start of the host runs.
+func (ho *process) currentProgram() string {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return cmp.Or(ho.program, filepath.Join(ho.testbed.opts.BinDir, "bergamotway"))
+}
+
+// setProgram sets the program of the next start; empty means that of the current build.
+func (ho *process) setProgram(program string) {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	ho.program = program
+}
+
+// isOld reports whether the host runs the old build, or has been told to end while it ran it.
+func (ho *process) isOld() bool {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	return ho.cmd != nil && ho.testbed.opts.OldProgram != "" && ho.cmd.Path == ho.testbed.opts.OldProgram
+}
+
+// pid returns the identifier of the current process, or 0.
+func (ho *process) pid() int {
+	ho.mu.Lock()
+	defer ho.mu.Unlock()
+	if ho.cmd == nil {
+		return 0
+	}
+	return ho.cmd.Process.Pid
+}
+
 // supervise starts the process and restarts it whenever it exits, until ctx is done or stopRestarting is called. It
 // returns the error of the first start.
 func (ho *process) supervise(ctx context.Context) error {
@@ -85,7 +139,7 @@
 	go func() {
 		defer close(ended)
 		for n := 0; ctx.Err() == nil; n++ {
-			cmd := exec.Command(filepath.Join(ho.testbed.opts.binDir, "bergamotway"), "gateway")
+			cmd := exec.Command(ho.currentProgram(), "gateway")
 			cmd.Env = append(os.Environ(), settingsEnv+"="+ho.settingsPath)
 			if ho.logFile != nil {
 				cmd.Stdout, cmd.Stderr = ho.logFile, ho.logFile
@@ -136,6 +190,9 @@
 		}
 	}()
 	ho.stopRestarting()
+	if ho.frontProxy != nil {
+		ho.frontProxy.close()
+	}
 	if ho.logFile != nil {
 		_ = ho.logFile.Close()
 	}
--- a/programs/load/soak/proxy.go
+++ b/programs/load/soak/proxy.go
@@ -19,6 +19,8 @@
 		listener net.Listener
 		target   string
 		mode     atomic.Int32
+		// refuses reports whether a new connection is reset; nil resets none.
+		refuses func(client net.Conn) bool
 
 		mu    sync.Mutex
 		conns map[net.Conn]bool
@@ -40,12 +42,15 @@
 	copyBufferBytes = 16 << 10
 )
 
-func newProxy(target string) (*proxy, error) {
+func newProxy(target string) (*proxy, error) { return newGuardedProxy(target, nil) }
+
+// newGuardedProxy returns a proxy that resets the new connections that it refuses.
+func newGuardedProxy(target string, refuses func(client net.Conn) bool) (*proxy, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "soak: proxy")
 	}
-	pr := &proxy{listener: ln, target: target, conns: make(map[net.Conn]bool)}
+	pr := &proxy{listener: ln, target: target, refuses: refuses, conns: make(map[net.Conn]bool)}
 	go pr.acceptConns()
 	return pr, nil
 }
@@ -78,7 +83,13 @@
 			resetConn(nc)
 			continue
 		}
-		go pr.relay(nc)
+		go func() {
+			if pr.refuses != nil && pr.refuses(nc) {
+				resetConn(nc)
+				return
+			}
+			pr.relay(nc)
+		}()
 	}
 }
 
--- a/programs/load/soak/soak_test.go
+++ b/programs/load/soak/soak_test.go
@@ -25,7 +25,7 @@
 	require.NoError(t, build.Run())
 	// With seed 308, a stream had a gap: the proxy dropped bytes and forwarded later ones.
 	for _, seed := range []int64{1, 308} {
-		require.NoError(t, soak.Run(context.Background(), os.Stdout, bin, seed, 4*time.Second, 3, 12, ""))
+		require.NoError(t, soak.Run(context.Background(), soak.Options{BinDir: bin, Seed: seed, Length: 4 * time.Second, Hosts: 3, Clients: 12, Out: os.Stdout}))
 	}
 }
 
@@ -39,7 +39,7 @@
 	require.NoError(t, os.WriteFile(filepath.Join(bin, "bergamotway"), []byte(script), 0o700))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	require.Error(t, soak.Run(ctx, os.Stdout, bin, 1, time.Second, 40, 1, ""))
+	require.Error(t, soak.Run(ctx, soak.Options{BinDir: bin, Seed: 1, Length: time.Second, Hosts: 40, Clients: 1, Out: os.Stdout}))
 	data, err := os.ReadFile(pidFile)
 	require.NoError(t, err)
 	pid, err := strconv.Atoi(strings.TrimSpace(string(data)))
--- a/programs/load/soak/statement.go
+++ b/programs/load/soak/statement.go
@@ -81,7 +81,7 @@
 			return
 		}
 	}
-	tb.faultCounts[name]++
+	tb.faultCounts.add(name)
 }
 
 // leave makes a plain endpoint say for the duration d that it leaves, and restarts it. It reports whether the endpoint does
@@ -113,10 +113,10 @@
 	if copied == nil {
 		return false
 	}
-	tb.store.SetFault(site.StoreUnavailable)
+	tb.setStoreFault(site.StoreUnavailable)
 	time.Sleep(restoreOutage)
 	tb.store.Restore(copied)
-	tb.store.SetFault(site.NoStoreFault)
+	tb.setStoreFault(site.NoStoreFault)
 	tb.printError(tb.writeConfiguration())
 	if tb.weightChanges > 0 {
 		tb.printError(tb.store.SetWeightVersion(1 + tb.weightChanges))
@@ -124,5 +124,8 @@
 	for _, ep := range append(slices.Clone(tb.engines), tb.services...) {
 		tb.printError(tb.registerEndpoint(ep, "ready"))
 	}
+	for _, wp := range tb.workers {
+		tb.printError(wp.register("ready"))
+	}
 	return true
 }
--- a/programs/load/soak/testbed.go
+++ b/programs/load/soak/testbed.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"math/rand"
 	"slices"
-	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
 type (
 	// testbed holds the stand-ins, the proxies in front of them and the host processes.
 	testbed struct {
-		opts                 options
+		opts                 Options
 		store                *site.Store
 		engines              []*site.Endpoint
 		services             []*site.Endpoint
@@ -33,9 +34,16 @@
 		hosts                []*process
 		configurationVersion int
 		weightChanges        int
-		faultCounts          map[string]int
+		faultCounts          faultCounts
+		addressMu            sync.Mutex
 		usedAddresses        map[string]bool
-		leavers              leavers
+		// workers are the endpoints that run as processes, and release is the number of their software's newest version.
+		workers   []*workerProcess
+		release   atomic.Int64
+		neighbors neighborhood
+		// storeFault is the fault of the metadata store that is in force.
+		storeFault atomic.Int32
+		leavers    leavers
 		// backup is a copy of the store from which it may be restored; nil if there is none yet.
 		backup *site.Backup
 		// addFinding records a violation.
@@ -43,8 +51,8 @@
 	}
 )
 
-func newTestbed(ctx context.Context, opts options, dir string) (*testbed, error) {
-	tb := &testbed{opts: opts, faultCounts: make(map[string]int), usedAddresses: make(map[string]bool)}
+func newTestbed(ctx context.Context, opts Options, dir string) (*testbed, error) {
+	tb := &testbed{opts: opts, usedAddresses: make(map[string]bool)}
 	if err := tb.build(ctx, dir); err != nil {
 		// Hosts that have already started would keep running and call whichever process gets the store's
 		// address next.
@@ -63,12 +71,8 @@
 	if tb.store, err = site.NewStore(); err != nil {
 		return err
 	}
-	for i := range 4 {
-		if err = tb.addEndpoint(&tb.engines, site.EndpointOptions{
-			ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "here", Model: site.Model, SoftwareVersion: softwareVersions[i%2], EventCount: streamEvents, EventInterval: 20 * time.Millisecond,
-		}); err != nil {
-			return err
-		}
+	if err = tb.addEngines(); err != nil {
+		return err
 	}
 	for i := range 3 {
 		if err = tb.addEndpoint(&tb.services, site.EndpointOptions{ID: fmt.Sprint("plain-", i), Service: "desk", Zone: "here"}); err != nil {
@@ -78,9 +82,17 @@
 	if err = tb.writeConfiguration(); err != nil {
 		return err
 	}
-	for i := range tb.opts.hosts {
+	if tb.opts.hasWorkers() {
+		if err = tb.neighbors.serveStore(tb.store); err != nil {
+			return err
+		}
+	}
+	for i := range tb.opts.Hosts {
 		ho := &process{testbed: tb, name: fmt.Sprint("host-", i)}
-		if ho.storeProxy, err = newProxy(tb.store.Address()); err != nil {
+		if tb.opts.OldProgram != "" && (!tb.opts.StaysMixed || i%2 == 0) {
+			ho.setProgram(tb.opts.OldProgram)
+		}
+		if ho.storeProxy, err = newProxy(tb.neighbors.storeAddress(tb.store.Address())); err != nil {
 			return err
 		}
 		tb.hosts = append(tb.hosts, ho)
@@ -94,6 +106,36 @@
 	return tb.awaitReady(ctx, 15*time.Second)
 }
 
+// addEngines starts the engines, and the desk workers that run as processes.
+func (tb *testbed) addEngines() error {
+	if !tb.opts.hasWorkers() {
+		for i := range 4 {
+			if err := tb.addEndpoint(&tb.engines, site.EndpointOptions{
+				ID: fmt.Sprint("engine-", i), Service: "engines", Zone: "here", Model: site.Model, SoftwareVersion: softwareVersions[i%2], EventCount: streamEvents, EventInterval: 20 * time.Millisecond,
+			}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	for i := range tb.opts.Engines {
+		if err := tb.addWorker(workerOptions{
+			ID: fmt.Sprint("engine-", i), Service: "engines", Model: site.Model, WeightVersion: 1, Software: softwareVersion(0),
+			EventCount: workerEvents, Pause: workerPause, UndelimitedPercent: undelimitedPercent,
+		}); err != nil {
+			return err
+		}
+	}
+	for i := range tb.opts.Desks {
+		if err := tb.addWorker(workerOptions{
+			ID: fmt.Sprint("desk-", i), Service: "desk", Software: softwareVersion(0), Pause: workerPause, UndelimitedPercent: undelimitedPercent,
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // addEndpoint starts an endpoint behind a proxy, appends it to list, and registers it at the proxy's address.
 func (tb *testbed) addEndpoint(list *[]*site.Endpoint, opts site.EndpointOptions) error {
 	var pr *proxy
@@ -128,22 +170,22 @@
 	)
 }
 
-// injectFaults injects random faults for opts.injectionTime, and returns the number of each kind as text.
-func (tb *testbed) injectFaults(ctx context.Context, rd *rand.Rand) string {
-	deadline := time.Now().Add(tb.opts.injectionTime)
+// injectFaults injects random faults for opts.Length.
+func (tb *testbed) injectFaults(ctx context.Context, rd *rand.Rand) {
+	deadline := time.Now().Add(tb.opts.Length)
 	// A source of its own leaves the other faults of a seed as they were.
-	statements := rand.New(rand.NewSource(^tb.opts.seed))
-	for time.Now().Before(deadline) && ctx.Err() == nil {
-		tb.injectFault(rd)
-		tb.injectStatementFault(statements)
-		time.Sleep(minFaultInterval + time.Duration(rd.Int63n(int64(maxFaultInterval-minFaultInterval))))
+	statements := rand.New(rand.NewSource(^tb.opts.Seed))
+	pause := time.Duration(1)
+	if tb.opts.hasWorkers() {
+		pause = workerFaultPause
 	}
-	var out []string
-	for name, n := range tb.faultCounts {
-		out = append(out, fmt.Sprintf("%s %d", name, n))
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if !tb.opts.WithoutFaults {
+			tb.injectFault(rd)
+			tb.injectStatementFault(statements)
+		}
+		time.Sleep(pause * (minFaultInterval + time.Duration(rd.Int63n(int64(maxFaultInterval-minFaultInterval)))))
 	}
-	slices.Sort(out)
-	return strings.Join(out, ", ")
 }
 
 // injectFault injects one random fault. Faults with a duration are undone in the background.
@@ -169,8 +211,8 @@
 			undoLater(func() { ho.storeProxy.setMode(modePass); ho.storeProxy.resetAll() })
 		}},
 		{"store", func() {
-			tb.store.SetFault([]site.StoreFault{site.StoreUnavailable, site.StoreUnresponsive, site.StoreLosesResponses}[rd.Intn(3)])
-			undoLater(func() { tb.store.SetFault(site.NoStoreFault) })
+			tb.setStoreFault([]site.StoreFault{site.StoreUnavailable, site.StoreUnresponsive, site.StoreLosesResponses}[rd.Intn(3)])
+			undoLater(func() { tb.setStoreFault(site.NoStoreFault) })
 		}},
 		{"store-forgets", tb.store.CompactHistory},
 		{"endpoint-proxy", func() {
@@ -198,21 +240,33 @@
 	if isLeaving && slices.Contains([]string{"endpoint-proxy", "endpoint-reset", "flaw", "lapse"}, fa.name) {
 		return
 	}
-	tb.faultCounts[fa.name]++
+	tb.faultCounts.add(fa.name)
 	fa.do()
 }
 
+// setStoreFault sets the fault of the metadata store. A later fault replaces one that is in force.
+func (tb *testbed) setStoreFault(fa site.StoreFault) {
+	tb.storeFault.Store(int32(fa))
+	tb.store.SetFault(fa)
+}
+
+// isStoreAway reports whether the metadata store takes no entries.
+func (tb *testbed) isStoreAway() bool {
+	return site.StoreFault(tb.storeFault.Load()) != site.NoStoreFault
+}
+
 // printError prints an error of the soak test itself, if there is one.
 func (tb *testbed) printError(err error) {
 	if err != nil {
-		_, _ = fmt.Fprintln(tb.opts.out, "soak:", err)
+		_, _ = fmt.Fprintln(tb.opts.Out, "soak:", err)
 	}
 }
 
 // clearFaults waits until the last fault has ended, and restores the stand-ins, the proxies and the paused processes.
 func (tb *testbed) clearFaults() {
 	time.Sleep(leavingSettleTime + maxFaultDuration)
-	tb.store.SetFault(site.NoStoreFault)
+	tb.setStoreFault(site.NoStoreFault)
+	tb.neighbors.joinAll()
 	for _, pr := range tb.endpointProxies {
 		pr.setMode(modePass)
 	}
@@ -220,6 +274,10 @@
 		ep.ClearFaults()
 		tb.printError(tb.registerEndpoint(ep, "ready"))
 	}
+	for _, wp := range tb.workers {
+		tb.printError(wp.start(wp.options().ID, wp.options().Software))
+		tb.printError(wp.register("ready"))
+	}
 	for _, ho := range tb.hosts {
 		ho.storeProxy.setMode(modePass)
 		ho.signal(syscall.SIGCONT)
@@ -248,9 +306,13 @@
 	for _, ep := range append(slices.Clone(tb.engines), tb.services...) {
 		ep.Close()
 	}
+	for _, wp := range tb.workers {
+		wp.kill()
+	}
 	for _, pr := range tb.endpointProxies {
 		pr.close()
 	}
+	tb.neighbors.close()
 	if tb.store != nil {
 		tb.store.Close()
 	}
