--- a/programs/load/soak/disturbance.go
+++ b/programs/load/soak/disturbance.go
@@ -26,6 +26,9 @@
 	// releasePause is the time for which a release has replaced half of the engines.
 	releasePause = 2500 * time.Millisecond
 	drainTime    = 600 * time.Millisecond
+	// minRestartTime and maxRestartTime bound the time between the end of an engine and its next start.
+	minRestartTime = 100 * time.Millisecond
+	maxRestartTime = 600 * time.Millisecond
 	// maxEntryDelay is how late the entry of an engine may come that starts again in place.
 	maxEntryDelay = 2 * time.Second
 )
@@ -138,6 +141,7 @@
 		id = fmt.Sprintf("%s-r%d", strings.SplitN(opts.ID, "-r", 2)[0], release)
 		tb.store.Remove(opts.key())
 	}
+	time.Sleep(minRestartTime + time.Duration(rd.Int63n(int64(maxRestartTime-minRestartTime))))
 	tb.startEngine(rd, wp, id, release, 0)
 }
 
@@ -148,7 +152,7 @@
 	}
 	defer wp.busy.Unlock()
 	wp.kill()
-	time.Sleep(time.Duration(rd.Int63n(int64(500 * time.Millisecond))))
+	time.Sleep(minRestartTime + time.Duration(rd.Int63n(int64(maxRestartTime-minRestartTime))))
 	tb.startEngine(rd, wp, wp.options().ID, release, maxDelay)
 }
 
