--- a/programs/load/soak/options.go
+++ b/programs/load/soak/options.go
@@ -24,6 +24,9 @@
 	// Engines and Desks are the number of engines and of desk workers that run as processes. With engines, clients mostly take up
 	// streams, and the software of the engines is released while the soak runs.
 	Engines, Desks int
+	// SloppyPercent is the part of the runs of engines that go on after an event and leave one out or repeat one, which engines
+	// should not.
+	SloppyPercent int
 	// Disturbances names the disturbances of engines, hosts and the metadata store that come beside the faults; empty means all.
 	Disturbances []string
 	// WithoutFaults leaves the other faults out.
--- a/programs/load/soak/testbed.go
+++ b/programs/load/soak/testbed.go
@@ -121,7 +121,7 @@
 	for i := range tb.opts.Engines {
 		if err := tb.addWorker(workerOptions{
 			ID: fmt.Sprint("engine-", i), Service: "engines", Model: site.Model, WeightVersion: 1, Software: softwareVersion(0),
-			EventCount: workerEvents, Pause: workerPause, UndelimitedPercent: undelimitedPercent,
+			EventCount: workerEvents, Pause: workerPause, UndelimitedPercent: undelimitedPercent, SloppyPercent: tb.opts.SloppyPercent,
 		}); err != nil {
 			return err
 		}
--- a/programs/load/soak/worker.go
+++ b/programs/load/soak/worker.go
@@ -38,6 +38,8 @@
 		Pause time.Duration
 		// UndelimitedPercent is the part of its answers that have neither a length nor chunks.
 		UndelimitedPercent int
+		// SloppyPercent is the part of the runs after an event that leave the next event out or begin with that event again.
+		SloppyPercent int
 	}
 
 	// workerReport is what a worker says about a run or an order on its standard output.
@@ -197,7 +199,7 @@
 	pieces := []string{"body of", " " + id}
 	if ws.opts.EventCount > 0 {
 		pieces = nil
-		for i := after + 1; i <= ws.opts.EventCount; i++ {
+		for i := ws.firstEvent(after, id); i <= ws.opts.EventCount; i++ {
 			pieces = append(pieces, order.Event(i, rn))
 		}
 	}
@@ -217,15 +219,31 @@
 	ws.report(wr)
 }
 
+// firstEvent returns the number of the event with which a run begins after another one.
+func (ws *workerServer) firstEvent(after int, id string) int {
+	if after == 0 || percentile(id, "sloppy") >= ws.opts.SloppyPercent {
+		return after + 1
+	}
+	if percentile(id, "repeats") < 50 {
+		return after
+	}
+	return after + 2
+}
+
+// percentile returns a number below 100 that a request has for a purpose.
+func percentile(id, purpose string) int {
+	hash := fnv.New32a()
+	_, _ = io.WriteString(hash, purpose+id)
+	return int(hash.Sum32() % 100)
+}
+
 // startBody writes the header of a success. A part of the answers is undelimited.
 func (ws *workerServer) startBody(w http.ResponseWriter, id string) *bodyWriter {
 	if ws.opts.EventCount > 0 {
 		w.Header().Set("Content-Type", "text/event-stream")
 	}
 	rc := http.NewResponseController(w)
-	hash := fnv.New32a()
-	_, _ = io.WriteString(hash, id)
-	if int(hash.Sum32()%100) >= ws.opts.UndelimitedPercent {
+	if percentile(id, "delimiter") >= ws.opts.UndelimitedPercent {
 		return &bodyWriter{w: w, rc: rc}
 	}
 	conn, _, err := rc.Hijack()
