--- a/programs/load/soak/soak_test.go
+++ b/programs/load/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"bufio"
 	"context"
 	"os"
 	"os/exec"
@@ -66,3 +67,28 @@
 	t.Cleanup(func() { _ = syscall.Kill(pid, syscall.SIGKILL) })
 	require.ErrorIs(t, syscall.Kill(pid, 0), syscall.ESRCH, "the first host is still running")
 }
+
+// TestWorkerEndsWithItsSoak guards against workers that outlive a soak that was killed.
+func TestWorkerEndsWithItsSoak(t *testing.T) {
+	program, err := os.Executable()
+	require.NoError(t, err)
+	worker := exec.Command(program, "soak", "worker", `{"ID":"engine-0","Address":"127.0.0.1:0"}`)
+	in, err := worker.StdinPipe()
+	require.NoError(t, err)
+	out, err := worker.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, worker.Start())
+	t.Cleanup(func() { _ = worker.Process.Kill() })
+	line, err := bufio.NewReader(out).ReadString('\n')
+	require.NoError(t, err)
+	require.Equal(t, "listening\n", line)
+	require.NoError(t, in.Close())
+	ended := make(chan error, 1)
+	go func() { ended <- worker.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(t, err)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "the worker is still running")
+	}
+}
--- a/programs/load/soak/worker.go
+++ b/programs/load/soak/worker.go
@@ -91,7 +91,7 @@
 	return []map[string]any{{"name": model, "version": version, "adapters": []string{}}}
 }
 
-// runWorker serves a worker until its process is killed.
+// runWorker serves a worker until its process is killed, or the soak that holds the other end of its standard input has ended.
 func runWorker(options string) error {
 	ws := &workerServer{out: json.NewEncoder(os.Stdout)}
 	if err := json.Unmarshal([]byte(options), &ws.opts); err != nil {
@@ -102,6 +102,10 @@
 	if err != nil {
 		return err
 	}
+	go func() {
+		_, _ = io.Copy(io.Discard, os.Stdin)
+		os.Exit(0)
+	}()
 	fmt.Println("listening")
 	sv := &http.Server{Handler: ws, ReadHeaderTimeout: time.Second}
 	return sv.Serve(ln)
--- a/programs/load/soak/worker_process.go
+++ b/programs/load/soak/worker_process.go
@@ -104,6 +104,10 @@
 	if err != nil {
 		return errors.Wrap(err, "soak: worker")
 	}
+	// The worker ends when this end is closed, also if the soak is killed.
+	if _, err := cmd.StdinPipe(); err != nil {
+		return errors.Wrap(err, "soak: worker")
+	}
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak: worker")
 	}
