--- a/programs/load/order/stream.go
+++ b/programs/load/order/stream.go
@@ -201,3 +201,15 @@
 	}
 	return len(st.Tries) > 0
 }
+
+// IsAnyTry reports whether one of the tries has a fault by itself.
+func (st Stream) IsAnyTry(judge func(Stream) []string) bool {
+	for _, tr := range st.Tries {
+		alone := st
+		alone.Tries = []Try{tr}
+		if len(judge(alone)) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/programs/load/order/stream_test.go
+++ b/programs/load/order/stream_test.go
@@ -98,3 +98,11 @@
 	require.False(t, order.Stream{Tries: []order.Try{{ByOldBuild: true}, {}}}.IsByOldBuild())
 	require.False(t, order.Stream{}.IsByOldBuild())
 }
+
+// TestIsAnyTry guards against answers that are told apart wrongly from chains of tries.
+func TestIsAnyTry(t *testing.T) {
+	first, second := order.Try{Body: events(firstRun, 1, 2)}, order.Try{LastEventID: 2, Body: events(nextRun, 3, 4), Complete: true}
+	joined := order.Try{Body: first.Body + second.Body, Complete: true}
+	require.False(t, order.Stream{EventCount: 4, Resumable: true, Tries: []order.Try{first, second}}.IsAnyTry(order.JoinedVersions))
+	require.True(t, order.Stream{EventCount: 4, Resumable: true, Tries: []order.Try{first, joined}}.IsAnyTry(order.JoinedVersions))
+}
--- a/programs/load/soak/stream_client.go
+++ b/programs/load/soak/stream_client.go
@@ -24,6 +24,7 @@
 	allowedJoined = 2
 	// maxFaceFindings bounds the number of findings of each face in the report; the tally has all.
 	maxFaceFindings = 4
+	joinedVersions  = "joined-versions"
 )
 
 // workerRoutes are the routes of requests beside workers, each as often as it is used.
@@ -101,7 +102,7 @@
 		{"missing", order.Missing, 0},
 		{"twice", order.Twice, 0},
 		{"joined-runs", order.JoinedRuns, 0},
-		{"joined-versions", order.JoinedVersions, allowedJoined},
+		{joinedVersions, order.JoinedVersions, allowedJoined},
 		{"early", order.Early, 0},
 	}
 	for _, fa := range faces {
@@ -112,6 +113,10 @@
 				continue
 			}
 			ch.tally.addFace(fa.name, st.IsByOldBuild())
+			if fa.name == joinedVersions && st.IsAnyTry(fa.judge) {
+				// Hosts have joined them by themselves; over tries a client took part.
+				ch.tally.addFace(joinedVersions+"-in-one-answer", st.IsByOldBuild())
+			}
 			if !st.IsByOldBuild() {
 				found = append(found, texts[0])
 			}
