load/soak: bodies that end too early, beside desk workers that are killed

Nine kills of desk workers in 10 s cut no body short: few were on their way, and few of them undelimited.

--- a/programs/load/soak/checker.go
+++ b/programs/load/soak/checker.go
@@ -50,6 +50,8 @@
 		sealed bool
 		// complete reports that the body was read to its end without an error.
 		complete bool
+		// byOldBuild reports that a host of the old build answered.
+		byOldBuild bool
 	}
 )
 
@@ -111,8 +113,11 @@
 	if route == "note" || route == "query" {
 		rq.Model = site.Model
 	}
+	wasOld := ho.isOld()
 	rp := site.Send(ctx, tr, ho.clientAddress(), rq)
-	re = result{route: route, status: rp.Status, body: rp.Body, sealed: rp.Sealed(), complete: rp.Complete}
+	re = result{
+		route: route, status: rp.Status, body: rp.Body, sealed: rp.Sealed(), complete: rp.Complete, byOldBuild: wasOld && ho.isOld(),
+	}
 	ch.mu.Lock()
 	ch.results[id] = re
 	ch.statusCounts[fmt.Sprint(re.status)]++
@@ -186,8 +191,11 @@
 		ch.addFinding("%s %s: a success without the endpoint's confirmation", re.route, id)
 	}
 	if re.route == "pay" || re.route == "look" {
-		if re.complete && re.body != "body of "+id {
-			ch.addFinding("%s %s: got %q", re.route, id, re.body)
+		if order.EarlyBody(re.body, "body of "+id, re.complete) {
+			ch.tally.addFace("early-body", re.byOldBuild)
+			if !re.byOldBuild {
+				ch.addFinding("%s %s: got %q", re.route, id, re.body)
+			}
 		}
 		return
 	}
--- a/programs/load/soak/disturbance.go
+++ b/programs/load/soak/disturbance.go
@@ -16,6 +16,9 @@
 const (
 	// undelimitedPercent is the part of the workers' answers that have neither a length nor chunks.
 	undelimitedPercent = 25
+	// deskUndelimitedPercent is that part at desk workers, and deskPause the time between the two halves of their bodies.
+	deskUndelimitedPercent = 60
+	deskPause              = 400 * time.Millisecond
 	// workerFaultPause is how much longer the pauses between the other faults are beside disturbances.
 	workerFaultPause = 4
 	// disturbanceInterval is the mean pause between the starts of two disturbances, which overlap.
--- a/programs/load/soak/testbed.go
+++ b/programs/load/soak/testbed.go
@@ -128,7 +128,7 @@
 	}
 	for i := range tb.opts.Desks {
 		if err := tb.addWorker(workerOptions{
-			ID: fmt.Sprint("desk-", i), Service: "desk", Software: softwareVersion(0), Pause: workerPause, UndelimitedPercent: undelimitedPercent,
+			ID: fmt.Sprint("desk-", i), Service: "desk", Software: softwareVersion(0), Pause: deskPause, UndelimitedPercent: deskUndelimitedPercent,
 		}); err != nil {
 			return err
 		}
