attempt: continue streams only where the known start has answered

A request that continues a stream is now sent only on a connection since whose opening the start has answered, in doubt or not. That costs a question for a connection on which a stream goes on, and nothing for requests that begin. TestTakeUpIsNotSentToAnotherStartThatNobodyKnowsOf failed before (200 for 503).

--- a/internal/attempt/trust.go
+++ b/internal/attempt/trust.go
@@ -39,7 +39,8 @@
 	AnyStart StartNeed = iota
 	// KnownStart is for requests that are not sent if another start answers.
 	KnownStart
-	// VerifiedStart is for requests that are sent only if the start answers.
+	// VerifiedStart is for requests that are sent only on connections since whose opening the start has answered, also while it is
+	// not in doubt: another start may answer before anything shows that this one has ended.
 	VerifiedStart
 )
 
@@ -84,12 +85,7 @@
 }
 
 // IsStartVerified reports whether that start has answered since the connection was opened.
-func (rs *Response) IsStartVerified() bool {
-	rs.pool.mu.Lock()
-	defer rs.pool.mu.Unlock()
-	tc := rs.pool.targets[rs.target]
-	return rs.conn.isVerified || (tc != nil && tc.trust.askedAt > rs.conn.openedAt)
-}
+func (rs *Response) IsStartVerified() bool { return rs.pool.isVerified(rs.target, rs.conn) }
 
 // tick returns a new moment. The caller holds the lock.
 func (po *Pool) tick() moment {
@@ -143,7 +139,7 @@
 	var cause error
 	for range maxVerifications {
 		cn, err := po.acquire(ctx, target, limit)
-		if err != nil || need == AnyStart || cn.isTrusted || cn.isVerified {
+		if err != nil || po.suffices(target, cn, need) {
 			return cn, err
 		}
 		var (
@@ -170,6 +166,26 @@
 	return nil, &NotSentError{target: target, cause: cause}
 }
 
+// suffices reports whether a connection is to the start of a target as far as it is needed.
+func (po *Pool) suffices(target Target, cn *conn, need StartNeed) bool {
+	switch need {
+	case AnyStart:
+		return true
+	case KnownStart:
+		return cn.isTrusted || cn.isVerified
+	case VerifiedStart:
+	}
+	return !po.canAsk(target) || po.isVerified(target, cn)
+}
+
+// isVerified reports whether the start of a target has answered since a connection to it was opened.
+func (po *Pool) isVerified(target Target, cn *conn) bool {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	tc := po.targets[target]
+	return cn.isVerified || (tc != nil && tc.trust.askedAt > cn.openedAt)
+}
+
 // verify asks the endpoint on a connection which start it is. It reports whether the connection can carry a request afterwards.
 func (po *Pool) verify(ctx context.Context, target Target, cn *conn) (state StartState, canBeUsed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -63,6 +63,29 @@
 	}
 }
 
+// Guards against a host that has no connection to an endpoint which has started again, and that takes a stream up there.
+func TestTakeUpIsNotSentToAnotherStartThatNobodyKnowsOf(t *testing.T) {
+	t.Parallel()
+	for software, want := range map[string]int{"v1": http.StatusOK, "v2": http.StatusServiceUnavailable} {
+		t.Run(software, func(t *testing.T) {
+			t.Parallel()
+			fx := newVersionFixture(severalVersions)
+			ep, _ := fx.addSite(t, "a", "v1")
+			if software != "v1" {
+				ep.Close()
+				ep.SetSoftwareVersion(software)
+				require.NoError(t, ep.Restart())
+			}
+			fx.origins.Record(origin.Stream{Request: "first"}, origin.Origin{Service: "engines", Software: "v1"})
+			for i := range 24 {
+				status, body := fx.takeUp(fmt.Sprint("r", i), "first", "2")
+				require.Equal(t, want, status, body)
+			}
+			require.LessOrEqual(t, ep.ReportCount(), 1, "a connection is asked once")
+		})
+	}
+}
+
 // Guards against refusing all requests of a service whose only endpoint has started again, and against knowing what began them.
 func TestStreamsBeginAtAnotherStartWithoutAKnownOrigin(t *testing.T) {
 	t.Parallel()
