--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -95,6 +95,7 @@
 		"chunked body":         {"/pay", status + sealedHeader + "Transfer-Encoding: chunked\r\n\r\n", chunked, 0},
 		"undelimited body":     {"/pay", status + sealedHeader + "\r\n", filler, 0},
 		"chunk size line":      {"/pay", status + sealedHeader + "Transfer-Encoding: chunked\r\n\r\n", "0", 0},
+		"chunk extension":      {"/pay", status + sealedHeader + "Transfer-Encoding: chunked\r\n\r\n1;", filler, 0},
 		"trailer":              {"/pay", status + sealedHeader + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-T: " + filler[:100] + "\r\n", 0},
 		"response to another":  {"/pay", status + "X-Request-Id: another\r\nTransfer-Encoding: chunked\r\n\r\n", chunked, 0},
 		"rejection":            {"/pay", "HTTP/1.1 503 Busy\r\n" + sealedHeader + "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n", chunked, 0},
