--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -28,6 +28,7 @@
 	chunk     string
 	pause     time.Duration
 	open      atomic.Int64
+	accepted  atomic.Int64
 }
 
 func startEndlessEndpoint(t *testing.T, beginning, chunk string, pause time.Duration) *endlessEndpoint {
@@ -42,6 +43,7 @@
 				return
 			}
 			ee.open.Add(1)
+			ee.accepted.Add(1)
 			go ee.serve(cn)
 		}
 	}()
