load/soak: requests with bodies of their own

All streams of the soak had the same path, caller and body. Each request now has a body of its own, which those that take its stream up repeat. The checks are as they were.

--- a/programs/load/soak/checker.go
+++ b/programs/load/soak/checker.go
@@ -21,6 +21,8 @@
 	requestTimeout = 5 * time.Second
 	// maxFindings bounds the number of findings in the report.
 	maxFindings = 20
+	// bodyBytes is the length of a body without its identifier.
+	bodyBytes = 3000
 	// maxTakeUps is how often a client takes up a stream that breaks off.
 	maxTakeUps = 3
 )
@@ -105,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	rq := site.Request{
-		ID: id, Method: http.MethodPost, URI: "/" + route + "/1", Body: bytes.Repeat([]byte("b"), 3000), Timeout: routeTimeout,
+		ID: id, Method: http.MethodPost, URI: "/" + route + "/1", Body: bodyOf(id), Timeout: routeTimeout,
 	}
 	if route == "look" {
 		rq.Method, rq.Body = http.MethodGet, nil
@@ -126,6 +128,10 @@
 	return id, re
 }
 
+// bodyOf returns the body of a request, which is also that of those that take its stream up. Equal bodies would be blamed together
+// for endpoints that are killed under them.
+func bodyOf(id string) []byte { return append([]byte(id), bytes.Repeat([]byte("b"), bodyBytes)...) }
+
 func (ch *checker) nextID() string {
 	ch.mu.Lock()
 	defer ch.mu.Unlock()
@@ -146,7 +152,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 		ho := ch.testbed.hosts[rd.Intn(len(ch.testbed.hosts))]
 		rp := site.Send(ctx, tr, ho.clientAddress(), site.Request{
-			ID: id, Method: http.MethodPost, URI: "/query/1", Body: bytes.Repeat([]byte("b"), 3000), Timeout: routeTimeout, Model: site.Model,
+			ID: id, Method: http.MethodPost, URI: "/query/1", Body: bodyOf(firstID), Timeout: routeTimeout, Model: site.Model,
 			Header: map[string]string{"Last-Event-Id": fmt.Sprint(events), "Resumes": firstID},
 		})
 		cancel()
--- a/programs/load/soak/stream_client.go
+++ b/programs/load/soak/stream_client.go
@@ -1,7 +1,7 @@
 package soak
 
 import (
-	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand"
@@ -69,7 +69,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	rq := site.Request{
-		ID: id, Method: http.MethodPost, URI: "/" + route + "/1", Body: bytes.Repeat([]byte("b"), 3000), Timeout: routeTimeout, Model: site.Model,
+		ID: id, Method: http.MethodPost, URI: "/" + route + "/1", Body: bodyOf(cmp.Or(firstID, id)), Timeout: routeTimeout, Model: site.Model,
 	}
 	if firstID != "" {
 		rq.Header = map[string]string{"Last-Event-Id": fmt.Sprint(events), "Resumes": firstID}
