gateway: find out many endpoints that have started again

Each attempt that found another start counted like one of which nothing could be sent, of which five end a request.

Such attempts do not count: an endpoint is found out once, and serves what begins from then on. An endpoint that answers without saying which start it is no longer counts as unreachable. TestStreamBeginsAlthoughManyEndpointsHaveStartedAgain failed before ('rejected').

--- a/internal/attempt/error.go
+++ b/internal/attempt/error.go
@@ -72,6 +72,12 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.cause }
 
+// IsUnverified reports whether the endpoint answered, but did not say which start of it does.
+func (e *NotSentError) IsUnverified() bool {
+	var se startError
+	return errors.As(e.cause, &se)
+}
+
 // IsConnectionLimit reports whether the connection limit was reached, which says nothing about the
 // endpoint's health.
 func (e *NotSentError) IsConnectionLimit() bool {
--- a/internal/attempt/trust_test.go
+++ b/internal/attempt/trust_test.go
@@ -177,6 +177,7 @@
 	_, err = po.SendToStart(t.Context(), target, attempt.VerifiedStart, 4, "POST", head, nil)
 	var unsent *attempt.NotSentError
 	require.ErrorAs(t, err, &unsent)
+	require.True(t, unsent.IsUnverified(), "it answered, and must not count as unreachable")
 	// An entry without a start time says nothing that could be compared.
 	target.StartTimeMs = 0
 	rs, err = po.SendToStart(t.Context(), target, attempt.VerifiedStart, 4, "POST", head, nil)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -250,12 +250,16 @@
 	case errors.As(err, &unsent):
 		outcome := fleet.Unreachable
 		var otherStart *attempt.OtherStartError
-		if errors.As(err, &otherStart) {
+		switch {
+		case errors.As(err, &otherStart):
+			// Each endpoint is found to be another start once at most.
 			fw.noteOtherStart(pl)
+			fi.End(fleet.Neutral, coldFor)
+			fw.recordFailedAttempt(pl, "other-start", err)
+			return stepRetry, err
+		case unsent.IsConnectionLimit() || unsent.IsUnverified() || ctx.Err() != nil:
 			outcome = fleet.Neutral
-		} else if unsent.IsConnectionLimit() || ctx.Err() != nil {
-			outcome = fleet.Neutral
-		} else {
+		default:
 			gw.opts.Pool.CloseIdle(target)
 			fi.Silent()
 			fw.silent++
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotway/bergamotway/internal/fleet"
 	"github.com/bergamotway/bergamotway/internal/gateway"
 	"github.com/bergamotway/bergamotway/internal/origin"
+	"github.com/bergamotway/bergamotway/internal/retry"
 	"github.com/bergamotway/bergamotway/internal/standin/site"
 	"github.com/bergamotway/bergamotway/platform"
 )
@@ -162,3 +163,31 @@
 	require.NotNil(t, fx.fl.Begin("restarted", fleet.Load{Requests: 30, Tokens: 200_000, PrefillTokens: 400_000}, 0))
 	require.Equal(t, http.StatusServiceUnavailable, send("full"))
 }
+
+// Guards against refusing a stream because many endpoints have started again, of which each is found out by an attempt.
+func TestStreamBeginsAlthoughManyEndpointsHaveStartedAgain(t *testing.T) {
+	t.Parallel()
+	ck := clock.System()
+	fx := newVersionFixture(nil)
+	opts := gatewayOptions(ck, fx.fl)
+	opts.Budget = retry.NewWindowBudget(ck, retry.Limits{Window: time.Second, Slack: 1000})
+	opts.Pool = attempt.NewPool(attempt.Options{StartCodec: platform.StartCodec{}, IsConfirmed: func() bool { return false }})
+	ct := fx.gw.Catalog()
+	fx.gw = gateway.New(opts)
+	fx.gw.Configure(ct)
+	for i := range 12 {
+		ep, _ := fx.addSite(t, fmt.Sprint("engine-", i), "v1")
+		ep.Close()
+		require.NoError(t, ep.Restart())
+	}
+	for i := 0; ; i++ {
+		require.Less(t, i, 64)
+		status, body := fx.takeUp(fmt.Sprint("r", i), "", "")
+		if body == "no-endpoint\n" {
+			// The other service has no endpoint.
+			continue
+		}
+		require.Equal(t, http.StatusOK, status, body)
+		break
+	}
+}
