--- a/internal/attempt/error.go
+++ b/internal/attempt/error.go
@@ -17,6 +17,9 @@
 	// startError reports why it is not known which start of an endpoint answers.
 	startError string
 
+	// unverifiedError reports that an endpoint did not say which start of it answers.
+	unverifiedError struct{ cause error }
+
 	// NotSentError reports that no byte of the request has left this host, so it has not run.
 	NotSentError struct {
 		target Target
@@ -43,6 +46,12 @@
 	}
 )
 
+// Error returns the cause.
+func (e *unverifiedError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *unverifiedError) Unwrap() error { return e.cause }
+
 // Error returns the message.
 func (e startError) Error() string { return string(e) }
 
@@ -72,10 +81,10 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.cause }
 
-// IsUnverified reports whether the endpoint answered, but did not say which start of it does.
+// IsUnverified reports whether the endpoint accepted a connection, but did not say which start of it does.
 func (e *NotSentError) IsUnverified() bool {
-	var se startError
-	return errors.As(e.cause, &se)
+	var ue *unverifiedError
+	return errors.As(e.cause, &ue)
 }
 
 // IsConnectionLimit reports whether the connection limit was reached, which says nothing about the
--- a/internal/attempt/start.go
+++ b/internal/attempt/start.go
@@ -160,9 +160,9 @@
 	canBeUsed = stop() && rs.isReusable()
 	an, ok := po.opts.StartCodec.DecodeStart(rs.Status, body)
 	switch {
-	case !ok:
+	case !ok, an.StartTimeMs == 0 && target.StartTimeMs != 0 && !an.IsOther:
 		return StartUnknown, canBeUsed, errNoStart
-	case an.IsOther || (an.StartTimeMs != 0 && target.StartTimeMs != 0 && an.StartTimeMs != target.StartTimeMs):
+	case an.IsOther || (target.StartTimeMs != 0 && an.StartTimeMs != target.StartTimeMs):
 		return StartEnded, canBeUsed, nil
 	}
 	return StartAlive, canBeUsed, nil
--- a/internal/attempt/start_test.go
+++ b/internal/attempt/start_test.go
@@ -49,7 +49,7 @@
 		"later start":                {answer(200, "8"), 7, attempt.StartEnded},
 		"another endpoint":           {answer(421, ""), 7, attempt.StartEnded},
 		"entry without a start time": {answer(200, "8"), 0, attempt.StartAlive},
-		"no start time":              {answer(200, "0"), 7, attempt.StartAlive},
+		"no start time":              {answer(200, "0"), 7, attempt.StartUnknown},
 		"no answer to the question":  {answer(404, "not here"), 7, attempt.StartUnknown},
 		"garbage":                    {"no answer\r\n\r\n", 7, attempt.StartUnknown},
 		"endless head":               {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20), 7, attempt.StartUnknown},
--- a/internal/attempt/trust.go
+++ b/internal/attempt/trust.go
@@ -39,8 +39,9 @@
 	AnyStart StartNeed = iota
 	// KnownStart is for requests that are not sent if another start answers.
 	KnownStart
-	// VerifiedStart is for requests that are sent only on connections since whose opening the start has answered, also while it is
-	// not in doubt: another start may answer before anything shows that this one has ended.
+	// VerifiedStart is for requests that are sent only on connections since whose opening the start has answered. While it is not in
+	// doubt it is asked, too, since another may answer before anything shows that this one has ended; without an answer that says
+	// which start it is, the connection is used then.
 	VerifiedStart
 )
 
@@ -137,33 +138,37 @@
 // acquireAtStart returns a connection to the start of a target as far as it is needed.
 func (po *Pool) acquireAtStart(ctx context.Context, target Target, need StartNeed, limit int) (*conn, error) {
 	var cause error
+	hasAsked := false
 	for range maxVerifications {
 		cn, err := po.acquire(ctx, target, limit)
-		if err != nil || po.suffices(target, cn, need) {
+		// A start that is not in doubt need not say which it is.
+		if err != nil || po.suffices(target, cn, need) || (hasAsked && cn.isTrusted) {
 			return cn, err
 		}
 		var (
 			state     StartState
 			canBeUsed bool
+			isFresh   = cn.requests == 0
 		)
 		state, canBeUsed, cause = po.verify(ctx, target, cn)
+		hasAsked = true
 		switch {
 		case state == StartEnded:
 			po.release(target, cn, false)
 			return nil, &NotSentError{target: target, cause: &OtherStartError{}}
-		case canBeUsed && (state == StartAlive || need == KnownStart):
+		case canBeUsed && (state == StartAlive || need == KnownStart || cn.isTrusted):
 			return cn, nil
 		}
 		po.release(target, cn, false)
 		// A connection that was idle may have ended, and one whose answer ends it has shown that the start is alive.
-		if ctx.Err() != nil || (state == StartUnknown && cn.requests == 0) {
+		if ctx.Err() != nil || (state == StartUnknown && isFresh && !cn.isTrusted) {
 			break
 		}
 	}
 	if cause == nil {
 		cause = errNoStart
 	}
-	return nil, &NotSentError{target: target, cause: cause}
+	return nil, &NotSentError{target: target, cause: &unverifiedError{cause: cause}}
 }
 
 // suffices reports whether a connection is to the start of a target as far as it is needed.
@@ -191,6 +196,7 @@
 	ctx, cancel := context.WithTimeout(ctx, startCheckTimeout)
 	defer cancel()
 	askedAt, at := po.beginQuestion()
+	cn.requests++
 	state, canBeUsed, err = po.askStart(ctx, cn, target)
 	po.noteStart(target, state, askedAt, at)
 	cn.isVerified = state == StartAlive
--- a/internal/fleet/retention.go
+++ b/internal/fleet/retention.go
@@ -38,7 +38,12 @@
 	}
 	current := make([]Entry, 0, len(entries))
 	for _, en := range entries {
-		if fl.endpoints[en.ID] != nil || !fl.hasDeparted(en, now) {
+		ep := fl.endpoints[en.ID]
+		switch {
+		case ep != nil && ep.entry.StartTimeMs > en.StartTimeMs:
+			// The copy has an earlier start of the endpoint, which writes its entry again.
+			current = append(current, ep.entry)
+		case ep != nil || !fl.hasDeparted(en, now):
 			current = append(current, en)
 		}
 	}
--- a/internal/gateway/undelimited_test.go
+++ b/internal/gateway/undelimited_test.go
@@ -19,7 +19,7 @@
 
 const (
 	undelimitedHeader = "HTTP/1.1 200 OK\r\n" + sealedHeader + "\r\n"
-	startAnswer       = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":0}"
+	startAnswer       = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n{\"born\":1}"
 	plainAnswer       = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nX-Not-Executed: 1\r\n\r\n"
 	firstEvents       = "id: 1\ndata: one\n\nid: 2\ndata: two three\n\n"
 )
--- a/internal/node/contact.go
+++ b/internal/node/contact.go
@@ -11,6 +11,7 @@
 // noteStandstill notes that the process has stood still, and may have missed what others did meanwhile.
 func (no *Node) noteStandstill(d time.Duration) {
 	no.storeState.contact.Interrupt()
+	no.storeState.releases.Interrupt()
 	no.peerContact.Interrupt()
 	fields := no.contactFields()
 	fields["ms"] = d.Milliseconds()
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -229,6 +229,7 @@
 func (ss *storeState) CallDelayed() {
 	ss.targets.Interrupt()
 	ss.contact.Interrupt()
+	ss.releases.Interrupt()
 }
 
 // CallSucceeded records that the store has answered and its changes up to confirmedAt have been applied.
@@ -246,6 +247,7 @@
 func (ss *storeState) CallFailed(err error) {
 	ss.targets.Interrupt()
 	ss.contact.Interrupt()
+	ss.releases.Interrupt()
 	ss.fleet.StoreLost()
 	if !ss.unreachable {
 		ss.unreachable = true
--- a/internal/origin/generations.go
+++ b/internal/origin/generations.go
@@ -16,7 +16,7 @@
 	if known, ok := ge.find(key); ok {
 		or = known.merge(or)
 	}
-	if len(ge.current) < maxStreams {
+	if _, ok := ge.current[key]; ok || len(ge.current) < maxStreams {
 		ge.current[key] = or
 	}
 }
--- a/internal/origin/origin_test.go
+++ b/internal/origin/origin_test.go
@@ -244,3 +244,16 @@
 
 // split returns the origin of a finding and from where it is known.
 func split(fi origin.Finding) (origin.Origin, origin.Source) { return fi.Origin, fi.Source }
+
+// Guards against a full table that drops the correction of a stream that it remembers.
+func TestFullTableTakesCorrections(t *testing.T) {
+	t.Parallel()
+	di := origin.New(origin.Options{Sole: several})
+	st := origin.Stream{Request: "a"}
+	di.Record(st, origin.Origin{Service: "engines", Software: "v1"})
+	for i := range 40_000 {
+		di.Record(origin.Stream{Request: fmt.Sprint(i)}, origin.Origin{Service: "engines", Software: "v2"})
+	}
+	di.Record(st, origin.Origin{Service: "engines"})
+	require.Empty(t, di.Find(context.Background(), st, "engines").Origin.Software)
+}
--- a/internal/release/release.go
+++ b/internal/release/release.go
@@ -50,6 +50,8 @@
 
 		mu       sync.Mutex
 		services map[string]*service
+		// followedSince is since when the host has missed no change.
+		followedSince time.Time
 		// era is that of the last snapshot. Until settledAt the records may lack what an earlier era had.
 		era       uint64
 		settledAt time.Time
@@ -139,12 +141,26 @@
 	return se != nil && slices.Contains(se.recorded, version)
 }
 
+// Interrupt states that the host may have missed until now which endpoints there were.
+func (hi *History) Interrupt() {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	hi.followedSince = hi.opts.Clock.Now()
+}
+
+// hasFollowedFor reports whether the host has missed nothing for a duration.
+func (hi *History) hasFollowedFor(d time.Duration) bool {
+	hi.mu.Lock()
+	defer hi.mu.Unlock()
+	return hi.opts.Clock.Now().Sub(hi.followedSince) >= d
+}
+
 // Run writes the records until ctx ends.
 func (hi *History) Run(ctx context.Context) {
-	startedAt := hi.opts.Clock.Now()
+	hi.Interrupt()
 	for {
 		hi.observe()
-		pause := hi.commitDue(ctx, startedAt)
+		pause := hi.commitDue(ctx)
 		select {
 		case <-ctx.Done():
 			return
@@ -214,9 +230,9 @@
 
 // commitDue writes the records that are due, and returns the time until the next check. A host that has followed the store for
 // less than the retention leaves the versions in a record that it has not seen itself.
-func (hi *History) commitDue(ctx context.Context, startedAt time.Time) time.Duration {
+func (hi *History) commitDue(ctx context.Context) time.Duration {
 	pause := checkInterval
-	mayRemove := hi.opts.Clock.Now().Sub(startedAt) >= hi.opts.Retention
+	mayRemove := hi.hasFollowedFor(hi.opts.Retention)
 	for name, versions := range hi.wanted(mayRemove) {
 		wait, tx, isDue := hi.prepare(name, versions)
 		if !isDue {
