gateway: ask an endpoint at the begin of a stream while several versions serve

While more than one version is in service, a stream that may be taken up begins only on a connection since whose opening the start has answered, like one that continues. With one version nothing is asked, as before. TestStreamOfAnUnnoticedStartIsNotContinued failed before. TestOriginIsComparedAgainWhenTheStreamBreaks now has one version in service, since its endpoint would be asked otherwise; what it expects is as it was.

--- a/internal/gateway/start.go
+++ b/internal/gateway/start.go
@@ -24,10 +24,13 @@
 		return attempt.AnyStart
 	case fw.begun != nil:
 		return attempt.VerifiedStart
-	case fw.rq.canBeTakenUp() && !pl.view.OtherStart:
+	case !fw.rq.canBeTakenUp() || pl.view.OtherStart:
+		return attempt.AnyStart
+	case fw.gw.opts.Origins.IsSole(fw.rq.service.Name):
 		return attempt.KnownStart
 	}
-	return attempt.AnyStart
+	// Endpoints are being replaced. One that has started again in place may answer before its entry is read.
+	return attempt.VerifiedStart
 }
 
 // isUnrecorded reports whether a stream that begins at an endpoint may not be able to go on, since its software version is not known
--- a/internal/gateway/start_test.go
+++ b/internal/gateway/start_test.go
@@ -42,7 +42,8 @@
 	for software, want := range map[string]int{"v1": http.StatusOK, "v2": 0} {
 		t.Run(software, func(t *testing.T) {
 			t.Parallel()
-			fx := newVersionFixture(severalVersions)
+			// With one version in service the endpoint is not asked when the stream begins.
+			fx := newVersionFixture(func(string) (string, bool) { return "v1", true })
 			ep, en := fx.addSite(t, "a", "v1")
 			time.AfterFunc(2*streamTime, func() {
 				en.StartTimeMs++
@@ -87,6 +88,28 @@
 	}
 }
 
+// Guards against a stream whose endpoint has started again with another version before anybody noticed, and breaks off before its
+// entry is read.
+func TestStreamOfAnUnnoticedStartIsNotContinued(t *testing.T) {
+	t.Parallel()
+	fx := newVersionFixture(severalVersions)
+	ep, _ := fx.addSite(t, "a", "v1")
+	ep.Close()
+	ep.SetSoftwareVersion("v2")
+	require.NoError(t, ep.Restart())
+	time.AfterFunc(2*streamTime, func() { fx.addSite(t, "b", "v1") })
+	time.AfterFunc(5*streamTime, ep.Close)
+	body := ""
+	for i := 0; body == ""; i++ {
+		// The route splits its requests among two services.
+		if status, text := fx.takeUp(fmt.Sprint("r", i), "", ""); status != http.StatusServiceUnavailable {
+			body = text
+		}
+	}
+	require.NotContains(t, body, "of v1")
+	require.Contains(t, body, "of v2")
+}
+
 // Guards against refusing all requests of a service whose only endpoint has started again, and against knowing what began them.
 func TestStreamsBeginAtAnotherStartWithoutAKnownOrigin(t *testing.T) {
 	t.Parallel()
