--- a/internal/connection/body.go
+++ b/internal/connection/body.go
@@ -54,7 +54,8 @@
 // does not fit into the memory that all bodies of the dialer share while they are read.
 func (ex *Exchange) ReadAll(limit int) ([]byte, error) {
 	var (
-		data     bytes.Buffer
+		pieces   [][]byte
+		total    int
 		reserved int64
 	)
 	defer func() { ex.memory.used.Add(-reserved) }()
@@ -63,18 +64,28 @@
 			return nil, ex.brokenError(err)
 		}
 		reserved += bodyGrowthBytes
-		_, err := io.CopyN(&data, ex, min(bodyGrowthBytes, int64(limit+1-data.Len())))
+		// A buffer that doubles would hold several times as much while it is copied.
+		piece := make([]byte, bodyGrowthBytes)
+		n, err := io.ReadFull(ex, piece)
+		pieces = append(pieces, piece[:n])
+		total += n
 		switch {
-		case errors.Is(err, io.EOF):
-			return data.Bytes(), nil
+		case total > limit:
+			return nil, ex.brokenError(&SizeError{limit: limit})
+		case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF) && !isBroken(err):
+			return bytes.Join(pieces, nil), nil
 		case err != nil:
 			return nil, err
-		case data.Len() > limit:
-			return nil, ex.brokenError(&SizeError{limit: limit})
 		}
 	}
 }
 
+// isBroken reports whether an error says that the exchange broke, and not only that a buffer was not filled.
+func isBroken(err error) bool {
+	var be *BrokenError
+	return errors.As(err, &be)
+}
+
 func (ex *Exchange) brokenError(cause error) error {
 	return newBrokenErrorFrom(ex.conn.RemoteAddr().String(), cause)
 }
--- a/internal/standin/raw/endless.go
+++ b/internal/standin/raw/endless.go
@@ -15,7 +15,7 @@
 type Endless struct {
 	listener  net.Listener
 	beginning string
-	chunk     string
+	chunk     []byte
 	open      atomic.Int64
 	accepted  atomic.Int64
 }
@@ -26,7 +26,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "raw: listen")
 	}
-	en := &Endless{listener: ln, beginning: beginning, chunk: chunk}
+	en := &Endless{listener: ln, beginning: beginning, chunk: []byte(chunk)}
 	go en.accept()
 	return en, nil
 }
@@ -67,6 +67,6 @@
 	}
 	_, err = io.WriteString(nc, en.beginning)
 	for err == nil {
-		_, err = io.WriteString(nc, en.chunk)
+		_, err = nc.Write(en.chunk)
 	}
 }
