gateway, relay: pass streams on to hosts of this build only

All streams are now passed on only to hosts that say in their registration that they read what began a stream, not take-ups alone. While no such host is registered, a stream of a host that is cut off is refused. The case in relay_origin_test.go failed before. The neighbours of two other tests stand for hosts of this build, and say so.

--- a/internal/gateway/endless_neighbour_test.go
+++ b/internal/gateway/endless_neighbour_test.go
@@ -47,7 +47,7 @@
 			memory := attempt.NewMemory(4 << 20)
 			opts.Budget = retry.NewWindowBudget(ck, retry.Limits{Window: time.Second, Slack: 1000})
 			opts.Neighbours, opts.RelayPool = relay.New(ck), attempt.NewPool(attempt.Options{Memory: memory})
-			opts.Neighbours.SetHosts([]relay.Host{{Name: "other", Address: netip.MustParseAddrPort(ee.listener.Addr().String())}})
+			opts.Neighbours.SetHosts([]relay.Host{{Name: "other", Address: netip.MustParseAddrPort(ee.listener.Addr().String()), TakesOrigins: true}})
 			gw := gateway.New(opts)
 			gw.Configure(catalog.New(catalog.Spec{
 				Version: 1, Routes: []catalog.Route{
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -117,10 +117,11 @@
 	return stepRetry, lastErr
 }
 
-// chooseNeighbours returns the neighbours to try. One that does not read what began a stream would guess it.
+// chooseNeighbours returns the neighbours to try. One of an earlier build, which does not read what began a stream, would guess it, and
+// takes the end of a connection for the end of a stream.
 func (fw *forwarder) chooseNeighbours() []relay.Host {
-	if fw.begun != nil {
-		return fw.gw.opts.Neighbours.ChooseForTakeUp(fw.rq.ID, fw.rq.service.Name, maxNeighbourTries)
+	if fw.rq.route.IsStream() {
+		return fw.gw.opts.Neighbours.ChooseForStream(fw.rq.ID, fw.rq.service.Name, maxNeighbourTries)
 	}
 	return fw.gw.opts.Neighbours.Choose(fw.rq.ID, fw.rq.service.Name, maxNeighbourTries)
 }
--- a/internal/gateway/relay_end_test.go
+++ b/internal/gateway/relay_end_test.go
@@ -50,7 +50,7 @@
 			opts.Neighbours, opts.RelayPool = relay.New(ck), attempt.NewPool(attempt.Options{})
 			address, err := netip.ParseAddrPort(neighbour.listener.Addr().String())
 			require.NoError(t, err)
-			opts.Neighbours.SetHosts([]relay.Host{{Name: "other", Address: address}})
+			opts.Neighbours.SetHosts([]relay.Host{{Name: "other", Address: address, TakesOrigins: true}})
 			gw := gateway.New(opts)
 			routes := []catalog.Route{
 				{Name: "pay", Host: "shop.example", Prefix: "/pay/", MaxAttempts: 1, Services: []catalog.WeightedService{{Service: "desk"}}},
--- a/internal/gateway/relay_origin_test.go
+++ b/internal/gateway/relay_origin_test.go
@@ -129,6 +129,8 @@
 	ne.SetHosts([]relay.Host{earlier})
 	send("a", takeUp)
 	require.Empty(t, received)
+	send("begins", nil)
+	require.Empty(t, received, "an earlier build takes the end of a connection for the end of the stream")
 	ne.SetHosts([]relay.Host{earlier, current})
 	send("b", takeUp)
 	require.Len(t, received, 1)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,8 +57,8 @@
 	return ne.choose(request, service, count, func(Host) bool { return true })
 }
 
-// ChooseForTakeUp is Choose among the hosts that read what began a stream.
-func (ne *Neighbours) ChooseForTakeUp(request, service string, count int) []Host {
+// ChooseForStream is Choose among the hosts that read what began a stream.
+func (ne *Neighbours) ChooseForStream(request, service string, count int) []Host {
 	return ne.choose(request, service, count, func(ho Host) bool { return ho.TakesOrigins })
 }
 
