--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 # Without fused multiply-add, figures are the same on all machines.
 export GOFLAGS := -buildvcs=false -gcflags=all=-d=fmahash=qn
 
-.PHONY: all format build demo demo-platform soak soak-streams soak-upgrade test test-all lint bench bench-path bench-routing bench-control clean
+.PHONY: all format build demo demo-platform soak soak-streams soak-upgrade review-cases test test-all lint bench bench-path bench-routing bench-control clean
 
 all: build
 
@@ -42,6 +42,12 @@
 	cd $(BIN)/src-$*/programs/bergamotway && go build -o $@ .
 	@rm -rf $(BIN)/src-$*
 
+# The cases of the independent review, on real processes; each says how often its rule was broken.
+review-cases:
+	mkdir -p target && cd programs/bergamotway && go build -ldflags=-linkmode=external -o ../../target/ .
+	review/build.sh
+	@failed=0; for n in 1 2 3 4 5; do review/$$n/run.sh || failed=1; done; exit $$failed
+
 # Passes over the tests that KNOWN-RED.txt names, and prints its entries; test-all runs those as well.
 test: build
 	@echo "known red entries:"; grep -v '^#' KNOWN-RED.txt | grep . || echo none
