--- a/review/stage/config.go
+++ b/review/stage/config.go
@@ -10,8 +10,23 @@
 	Resumable           bool
 }
 
+// Team is a team of a desired state.
+type Team struct {
+	Name, Key string
+	Exclusive bool
+}
+
 // Configure writes a desired state with the services "desk" and "engines" and one team, in the figures of a small deployment.
 func Configure(st *site.Store, version int, routes ...Route) error {
+	return ConfigureTeams(st, version, []Team{{Name: "team", Key: Key}}, routes...)
+}
+
+// ConfigureTeams is Configure with other teams.
+func ConfigureTeams(st *site.Store, version int, teams []Team, routes ...Route) error {
+	tenants := make([]any, 0, len(teams))
+	for _, te := range teams {
+		tenants = append(tenants, map[string]any{"name": te.Name, "apiKeys": []string{te.Key}, "priority": 1, "exclusive": te.Exclusive})
+	}
 	list := make([]any, 0, len(routes))
 	for _, ro := range routes {
 		list = append(list, map[string]any{
@@ -32,7 +47,7 @@
 			},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []any{map[string]any{"name": "team", "apiKeys": []string{Key}, "priority": 1, "exclusive": false}},
+		"tenants": tenants,
 	})
 	return err
 }
--- a/review/worker/main.go
+++ b/review/worker/main.go
@@ -90,7 +90,9 @@
 		}
 		return ep.write(nc, rq, 200, string(text), "Content-Type: application/json\r\n")
 	}
-	fmt.Printf("runs id=%s method=%s uri=%s after-event=%s software=%s\n", rq.Header.Get("X-Request-Id"), rq.Method, rq.RequestURI, rq.Header.Get("Last-Event-Id"), ep.software)
+	fmt.Printf("runs id=%s method=%s uri=%s after-event=%s software=%s tenant=%s salt=%q parts=%s\n",
+		rq.Header.Get("X-Request-Id"), rq.Method, rq.RequestURI, rq.Header.Get("Last-Event-Id"), ep.software, rq.Header.Get("X-Tenant"),
+		rq.Header.Get("X-Cache-Salt"), rq.Header.Get("X-Prompt-Prefix"))
 	query := rq.URL.Query()
 	delay, _ := strconv.Atoi(query.Get("ms"))
 	if ep.model != "" {
