--- a/review/stage/proxy.go
+++ b/review/stage/proxy.go
@@ -47,13 +47,6 @@
 	return len(px.links)
 }
 
-// OpenCount returns the number of open connections.
-func (px *Proxy) OpenCount() int {
-	px.mu.Lock()
-	defer px.mu.Unlock()
-	return len(px.links)
-}
-
 // Close ends the proxy and its connections.
 func (px *Proxy) Close() {
 	_ = px.listener.Close()
